--- /dev/null
+++ b/include/fulmarjunction/core/error.hpp
@@ -0,0 +1,63 @@
+/// @file
+/// Errors that carry the step and the peer at which they arose.
+#pragma once
+
+#include <boost/outcome/outcome.hpp>
+#include <boost/outcome/try.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace fulmarjunction {
+
+/// Kind of an error, for decisions; the text is in `error::detail`.
+enum class errc
+{
+    invalid_argument,
+    invalid_settings,
+    malformed,
+    too_large,
+    not_found,
+    conflict,
+    unauthorized,
+    timeout,
+    canceled,
+    connection_failed,
+    connection_broken,
+    truncated,
+    unavailable,
+    budget_exhausted,
+    internal
+};
+
+/// Returns the name of an error kind as it appears in logs.
+std::string_view to_string(errc code);
+
+/// A failure, with the step at which it arose and the peer involved.
+struct error
+{
+    errc code = errc::internal;
+    /// What was being done, for example "table.get".
+    std::string step;
+    /// Address or name of the other side; empty where there is none.
+    std::string peer;
+    /// Text for people.
+    std::string detail;
+};
+
+/// Formats an error for one log field: `step [peer]: code: detail`.
+std::string to_string(const error& failure);
+
+/// A value or an error.
+template <class T>
+using result = boost::outcome_v2::checked<T, error>;
+
+/// Makes a failure to return from a function that returns `result`.
+inline auto fail(
+    errc code, std::string step, std::string peer = {}, std::string detail = {})
+{
+    return boost::outcome_v2::failure(
+        error{code, std::move(step), std::move(peer), std::move(detail)});
+}
+
+} // namespace fulmarjunction
--- /dev/null
+++ b/include/fulmarjunction/core/request_context.hpp
@@ -0,0 +1,36 @@
+/// @file
+/// What travels with a request from node to node.
+#pragma once
+
+#include <fulmarjunction/core/names.hpp>
+#include <fulmarjunction/core/time.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace fulmarjunction {
+
+/// Context of one call. It comes from a node's memory, never from a
+/// backend server, so it can be trusted inside the fleet.
+struct request_context
+{
+    client_account account;
+    endpoint_name endpoint;
+    service_name service;
+    importance rank = importance::normal;
+    execution kind = execution::idempotent;
+    time_point deadline;
+    root_id root;
+    /// 1 for the call that the entry node makes.
+    std::uint32_t depth = 1;
+    /// Extra attempts that this call and what it calls may use.
+    std::uint32_t retries = 0;
+    /// Whether the call is a child of an admitted request.
+    bool invested = false;
+    /// Weight of the account's plan for fair sharing.
+    double weight = 1.0;
+    /// Empty unless the endpoint is unique.
+    std::string idempotency_key;
+};
+
+} // namespace fulmarjunction
--- /dev/null
+++ b/include/fulmarjunction/core/time.hpp
@@ -0,0 +1,37 @@
+/// @file
+/// Clock types used for all decisions.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace fulmarjunction {
+
+/// Monotonic: leases and deadlines must not follow changes of wall time.
+using clock = std::chrono::steady_clock;
+using time_point = clock::time_point;
+using duration = clock::duration;
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Returns `span` in seconds as a floating-point number.
+inline double to_seconds(duration span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+/// Returns a duration from seconds as a floating-point number.
+inline duration from_seconds(double span)
+{
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(span));
+}
+
+/// Returns whole milliseconds of `span`, rounded down.
+inline std::int64_t to_milliseconds(duration span)
+{
+    return std::chrono::duration_cast<milliseconds>(span).count();
+}
+
+} // namespace fulmarjunction
--- /dev/null
+++ b/include/fulmarjunction/core/timer_service.hpp
@@ -0,0 +1,91 @@
+/// @file
+/// The timer service that parts subscribe to.
+#pragma once
+
+#include <fulmarjunction/core/time.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <utility>
+
+namespace fulmarjunction {
+
+/// Runs callbacks at times given by its driver. It has no clock of its own:
+/// the daemon drives it from an Asio timer, tests by hand.
+class timer_service
+{
+public:
+    using callback = std::function<void(time_point now)>;
+
+    /// Keeps a subscription alive; cancels it when destroyed.
+    class subscription
+    {
+    public:
+        subscription() = default;
+        subscription(const subscription&) = delete;
+        subscription& operator=(const subscription&) = delete;
+        subscription(subscription&& other) noexcept
+            : service_(std::exchange(other.service_, nullptr)), id_(other.id_)
+        {
+        }
+        subscription& operator=(subscription&& other) noexcept
+        {
+            cancel();
+            service_ = std::exchange(other.service_, nullptr);
+            id_ = other.id_;
+            return *this;
+        }
+        ~subscription() { cancel(); }
+
+        /// Ends the subscription; no effect if it has ended.
+        void cancel();
+
+    private:
+        friend class timer_service;
+        subscription(timer_service& service, std::uint64_t id)
+            : service_(&service), id_(id)
+        {
+        }
+
+        timer_service* service_ = nullptr;
+        std::uint64_t id_ = 0;
+    };
+
+    explicit timer_service(time_point start) : now_(start) {}
+
+    /// Returns the time of the last `advance`.
+    time_point now() const { return now_; }
+
+    /// Calls `action` each `period`, first after one period. Periods missed
+    /// during a pause are not made up for.
+    [[nodiscard]] subscription every(duration period, callback action);
+
+    /// Calls `action` once after `delay`.
+    [[nodiscard]] subscription after(duration delay, callback action);
+
+    /// Returns when the next callback is due, if any.
+    std::optional<time_point> next_due() const;
+
+    /// Sets the time and runs what is due, in order of due time.
+    void advance(time_point now);
+
+private:
+    struct entry
+    {
+        duration period{};
+        callback action;
+    };
+    using due_key = std::pair<time_point, std::uint64_t>;
+
+    subscription add(duration delay, duration period, callback action);
+    void remove(std::uint64_t id);
+
+    time_point now_;
+    std::uint64_t next_id_ = 1;
+    std::map<due_key, entry> entries_;
+    std::map<std::uint64_t, time_point> due_by_id_;
+};
+
+} // namespace fulmarjunction
--- /dev/null
+++ b/include/fulmarjunction/http/http.hpp
@@ -0,0 +1,113 @@
+/// @file
+/// HTTP/1.1 servers and clients with streaming bodies.
+#pragma once
+
+#include <fulmarjunction/core/message.hpp>
+#include <fulmarjunction/core/time.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ssl/context.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace fulmarjunction {
+
+/// Limits of HTTP connections.
+struct http_limits
+{
+    std::size_t max_header_bytes = 16 * 1024;
+    std::size_t max_connections = 2048;
+    /// Idle time between requests on a kept connection.
+    milliseconds keep_alive_timeout{60'000};
+    /// Longest time for a request's head once its first byte has come.
+    milliseconds head_timeout{10'000};
+    /// Longest time without progress while a body moves.
+    milliseconds idle_timeout{10'000};
+};
+
+/// A request on a server connection.
+struct http_request
+{
+    streamed_request message;
+    boost::asio::ip::tcp::endpoint from;
+    /// Registers what to do at once when the caller's connection ends.
+    std::function<void(std::function<void()>)> on_cancel;
+};
+
+/// Answers a request. When the request's body was not read to its end, the
+/// server closes the connection after the answer.
+using http_handler =
+    std::function<awaitable<streamed_response>(http_request request)>;
+
+/// Makes the answer to bytes that are not an acceptable request.
+/// @param status 400, 413 or 431
+using http_refusal_handler = std::function<streamed_response(int status)>;
+
+/// Serves HTTP/1.1 with keep-alive, optionally under TLS.
+///
+/// Refuses malformed heads, heads over the limit, and requests that give
+/// both Content-Length and Transfer-Encoding, or either of them twice.
+class http_server
+{
+public:
+    http_server(
+        boost::asio::any_io_executor executor, http_limits limits,
+        http_handler handler, http_refusal_handler refuse,
+        std::shared_ptr<boost::asio::ssl::context> tls = nullptr);
+    ~http_server();
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+
+    /// Binds and starts to accept; port 0 lets the kernel choose.
+    result<boost::asio::ip::tcp::endpoint>
+    listen(const boost::asio::ip::tcp::endpoint& address);
+
+    /// Stops accepting, closes idle connections, and answers what is in
+    /// flight with `Connection: close`.
+    void begin_shutdown();
+    std::size_t requests_in_flight() const;
+    std::size_t connections() const;
+    void close();
+
+private:
+    class impl;
+    std::shared_ptr<impl> impl_;
+};
+
+/// Sends HTTP/1.1 requests to one address over kept connections.
+class http_client
+{
+public:
+    http_client(
+        boost::asio::any_io_executor executor,
+        boost::asio::ip::tcp::endpoint address, http_limits limits,
+        milliseconds connect_timeout = milliseconds(1000));
+    ~http_client();
+    http_client(const http_client&) = delete;
+    http_client& operator=(const http_client&) = delete;
+
+    /// Sends a request and waits for the head of its answer. An answer
+    /// belongs to its request alone: a connection whose request was not
+    /// answered in full is closed and never used again. Destroying the
+    /// answer's body before its end closes the connection; so does
+    /// canceling the coroutine.
+    /// @return `errc::connection_failed` when no byte was sent,
+    ///         `errc::connection_broken`, `errc::malformed` or
+    ///         `errc::timeout` when the request may have been processed
+    awaitable<result<streamed_response>>
+    send(streamed_request request, time_point deadline);
+
+    /// Closes the kept connections.
+    void close();
+    const boost::asio::ip::tcp::endpoint& address() const;
+
+private:
+    class impl;
+    std::shared_ptr<impl> impl_;
+};
+
+} // namespace fulmarjunction
--- /dev/null
+++ b/include/fulmarjunction/routing/balancer.hpp
@@ -0,0 +1,84 @@
+/// @file
+/// Chooses the backend server instance for a call.
+#pragma once
+
+#include <fulmarjunction/admission/admission.hpp>
+#include <fulmarjunction/core/names.hpp>
+#include <fulmarjunction/core/time.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace fulmarjunction {
+
+/// An instance that may be chosen.
+struct routing_candidate
+{
+    instance_name name;
+    availability_zone zone;
+    /// Slots as announced; a hint.
+    std::size_t slots = 0;
+    /// A new life of the instance starts slowly.
+    incarnation life = 0;
+};
+
+/// How a call to an instance ended, as its sender saw it.
+struct routing_observation
+{
+    outcome what = outcome::answered;
+    /// Set when the answer was a refusal or a failure.
+    std::optional<refusal_reason> reason;
+    /// Time until the head of the answer.
+    duration latency{};
+    /// The instance's admission level, if the answer carried it.
+    std::optional<admission_level> level;
+    /// Reported load in [0, 1], if the answer carried it; a hint.
+    std::optional<double> reported_load;
+};
+
+/// Result of a choice: an instance, or why there is none.
+struct routing_choice
+{
+    std::optional<instance_name> instance;
+    refusal why;
+};
+
+/// Chooses instances by this node's own observations.
+class balancer
+{
+public:
+    /// @param zone availability zone of this node
+    /// @param random returns uniform 64-bit numbers; seeded in tests
+    balancer(availability_zone zone, std::function<std::uint64_t()> random);
+    ~balancer();
+
+    /// Replaces the instances of a service that are alive, ready and not
+    /// leaving. Observations of instances that stay are kept.
+    void set_instances(
+        const service_name& service, std::vector<routing_candidate> instances,
+        time_point now);
+
+    /// Chooses an instance.
+    /// @param excluded instances that this request has tried already
+    routing_choice choose(
+        const service_name& service, request_priority priority,
+        const std::set<instance_name>& excluded, time_point now);
+
+    /// A call was sent to the instance.
+    void sent(const instance_name& instance, time_point now);
+
+    /// A call that was sent has ended.
+    void ended(
+        const instance_name& instance, const routing_observation& observation,
+        time_point now);
+
+private:
+    class impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace fulmarjunction
--- /dev/null
+++ b/src/test_main/test_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
