--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -43,6 +43,8 @@
 # fulmar_program(<name> <main source> <slice>...)
 function(fulmar_program name source)
   add_executable(${name} ${source})
+  set_target_properties(${name} PROPERTIES
+    RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
   foreach(dependency ${ARGN})
     target_link_libraries(${name} PRIVATE fulmar_${dependency})
   endforeach()
--- /dev/null
+++ b/include/fulmarjunction/serving/backend_gate.hpp
@@ -0,0 +1,131 @@
+/// @file
+/// The way from a node to its own backend server.
+#pragma once
+
+#include <fulmarjunction/admission/admission.hpp>
+#include <fulmarjunction/core/message.hpp>
+#include <fulmarjunction/core/request_context.hpp>
+#include <fulmarjunction/core/timer_service.hpp>
+#include <fulmarjunction/http/http.hpp>
+#include <fulmarjunction/serving/body.hpp>
+#include <fulmarjunction/serving/cancel_event.hpp>
+#include <fulmarjunction/serving/context_codec.hpp>
+#include <fulmarjunction/serving/in_flight.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace fulmarjunction {
+
+/// What a backend server says of itself.
+struct backend_announcement
+{
+    service_name service;
+    boost::asio::ip::tcp::endpoint address;
+    std::size_t slots = 0;
+    /// Reported load in [0, 1]; a hint.
+    double load = 0;
+    bool draining = false;
+};
+
+/// How a request that might crash the backend server is to be treated.
+enum class isolation
+{
+    none,
+    run_alone,
+    refuse
+};
+
+/// Decisions about requests that crash backend servers.
+struct isolation_hooks
+{
+    /// Returns how to treat a request, by its fingerprint.
+    std::function<isolation(std::uint64_t fingerprint)> classify;
+    /// The backend server failed while these requests were running.
+    std::function<void(const std::vector<std::uint64_t>& fingerprints)> crashed;
+    /// The request ended without a crash.
+    std::function<void(std::uint64_t fingerprint)> survived;
+};
+
+/// Returns the fingerprint of a request: the same for every resend of it.
+std::uint64_t request_fingerprint(
+    const request_context& context, std::string_view method,
+    std::string_view target, std::string_view body_prefix);
+
+/// Admits requests and passes them to the backend server.
+class backend_gate : public std::enable_shared_from_this<backend_gate>
+{
+public:
+    /// @param timers drives the admission's periodic work
+    backend_gate(
+        const boost::asio::any_io_executor& executor,
+        const admission_settings& settings, timer_service& timers,
+        isolation_hooks isolation);
+    ~backend_gate();
+    backend_gate(const backend_gate&) = delete;
+    backend_gate& operator=(const backend_gate&) = delete;
+
+    /// Takes note of what the backend server says of itself.
+    void announced(const backend_announcement& announcement);
+
+    /// Returns the last announcement while it is younger than three seconds.
+    const backend_announcement* backend() const;
+
+    /// Runs one call. The answer carries notes (see `take_notes`).
+    /// @param canceled ends the call, also while it waits or runs
+    awaitable<streamed_response> serve(
+        request_context context, streamed_request request,
+        cancel_event canceled);
+
+    in_flight_table& running() { return running_; }
+    std::size_t waiting() const { return admission_.waiting(); }
+    std::size_t in_flight() const { return admission_.in_flight(); }
+    std::size_t limit() const { return admission_.limit(); }
+    admission_level level() const;
+
+    /// Called when the backend server becomes ready or stops being so.
+    std::function<void()> on_change;
+
+private:
+    struct waiter;
+    class run_guard;
+
+    void apply(const admission_events& events);
+    void finish(std::uint64_t id, completion how);
+    awaitable<std::optional<refusal>>
+    admit(admission_request offered, cancel_event canceled);
+    awaitable<streamed_response>
+    run(request_context context, streamed_request request,
+        cancel_event canceled, std::uint64_t id, std::uint64_t fingerprint);
+    awaitable<streamed_response>
+    pass_on(std::shared_ptr<run_guard> guard, streamed_request request);
+    streamed_response failed_answer(run_guard& guard, const error& problem);
+    awaitable<void> wait_for_turn(cancel_event canceled, bool alone);
+    answer_notes notes_of(const run_guard& guard) const;
+    void check_for_crash();
+
+    boost::asio::any_io_executor executor_;
+    admission_controller admission_;
+    isolation_hooks isolation_;
+    in_flight_table running_;
+    std::unique_ptr<http_client> client_;
+    backend_announcement announcement_;
+    time_point announced_at_{};
+    bool was_ready_ = false;
+    std::uint64_t next_id_ = 1;
+    std::unordered_map<std::uint64_t, std::shared_ptr<waiter>> waiters_;
+    std::unordered_map<std::uint64_t, std::uint64_t> running_fingerprints_;
+    std::size_t suspects_here_ = 0;
+    time_point crash_checked_at_{};
+    timer_service::subscription ticks_;
+};
+
+} // namespace fulmarjunction
--- /dev/null
+++ b/include/fulmarjunction/serving/body.hpp
@@ -0,0 +1,56 @@
+/// @file
+/// Bodies on their way through a node.
+#pragma once
+
+#include <fulmarjunction/core/message.hpp>
+#include <fulmarjunction/core/time.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace fulmarjunction {
+
+/// Request bodies up to this size, in bytes, are held so that they can be
+/// sent again; it is also the bound of what a node buffers for a body.
+inline constexpr std::size_t repeatable_body_bytes = 64 * 1024;
+
+/// A request body of which the first bytes have been read.
+struct request_body
+{
+    /// The whole body when `is_whole`, else its first bytes.
+    std::string prefix;
+    bool is_whole = true;
+    /// Reads what follows the prefix.
+    body_reader rest;
+
+    /// Returns a reader of the body. It may be called again only when
+    /// `is_whole` is set.
+    body_reader open();
+};
+
+/// Reads the body up to `repeatable_body_bytes`.
+awaitable<result<request_body>> buffer_request_body(body_reader body);
+
+/// Returns a reader that fails with `errc::unauthorized` before it passes on
+/// any byte of `secret`, also where it spans two reads. The longest possible
+/// beginning of the secret is held back until more bytes have come.
+body_reader guard_secret(body_reader body, std::string secret);
+
+/// Called once with true at the proper end of a body, or with false when it
+/// failed or its reader was destroyed before.
+using body_end_hook = std::function<void(bool is_complete)>;
+
+/// Returns a reader that reports the end of the body.
+body_reader with_end_hook(body_reader body, body_end_hook at_end);
+
+/// Returns a reader that fails with `errc::timeout` when a read takes longer
+/// than `limit`: a long answer is bounded by progress, not in total.
+body_reader with_idle_limit(
+    body_reader body, const boost::asio::any_io_executor& executor,
+    duration limit, std::string peer);
+
+} // namespace fulmarjunction
--- /dev/null
+++ b/include/fulmarjunction/serving/cancel_event.hpp
@@ -0,0 +1,74 @@
+/// @file
+/// Cancellation of the work for one request.
+#pragma once
+
+#include <fulmarjunction/core/message.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <exception>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace fulmarjunction {
+
+/// An event that happens at most once and that copies share.
+class cancel_event
+{
+public:
+    explicit cancel_event(const boost::asio::any_io_executor& executor);
+
+    /// Makes the event happen; runs the callbacks.
+    void cancel() const;
+    bool is_canceled() const;
+
+    /// Calls `action` when the event happens, or now if it has.
+    void on_cancel(std::function<void()> action) const;
+
+    /// Returns when the event has happened.
+    awaitable<void> wait() const;
+
+private:
+    struct state;
+    std::shared_ptr<state> state_;
+};
+
+namespace detail {
+
+/// Results have no default, which parallel operations need: hence optional.
+template <class T>
+awaitable<std::optional<result<T>>>
+capture(awaitable<result<T>> work, std::string step)
+{
+    try {
+        co_return co_await std::move(work);
+    } catch (const std::exception& thrown) {
+        co_return result<T>(error{errc::canceled, step, {}, thrown.what()});
+    }
+}
+
+} // namespace detail
+
+/// Runs `work`, and cancels it when `event` happens first.
+/// @return the result of `work`, or `errc::canceled`
+template <class T>
+awaitable<result<T>>
+run_cancelable(awaitable<result<T>> work, cancel_event event, std::string step)
+{
+    using namespace boost::asio::experimental::awaitable_operators;
+    if (event.is_canceled())
+        co_return fail(errc::canceled, step);
+    auto first =
+        co_await (detail::capture(std::move(work), step) || event.wait());
+    if (first.index() == 0 && std::get<0>(first))
+        co_return std::move(*std::get<0>(first));
+    co_return fail(errc::canceled, step);
+}
+
+} // namespace fulmarjunction
--- /dev/null
+++ b/include/fulmarjunction/serving/dispatcher.hpp
@@ -0,0 +1,92 @@
+/// @file
+/// Sends a call to a backend server instance, with retries.
+#pragma once
+
+#include <fulmarjunction/core/message.hpp>
+#include <fulmarjunction/core/request_context.hpp>
+#include <fulmarjunction/peer/peer.hpp>
+#include <fulmarjunction/retry/retry_budget.hpp>
+#include <fulmarjunction/routing/balancer.hpp>
+#include <fulmarjunction/serving/backend_gate.hpp>
+#include <fulmarjunction/serving/body.hpp>
+#include <fulmarjunction/serving/cancel_event.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <variant>
+
+namespace fulmarjunction {
+
+/// A call that leaves this node.
+struct outgoing_call
+{
+    request_context context;
+    std::string method;
+    std::string target;
+    header_fields headers;
+    std::optional<std::uint64_t> content_length;
+    request_body body;
+};
+
+/// An answer of a backend server, or why there is none.
+using call_answer = std::variant<streamed_response, refusal>;
+
+/// Where the node of an instance listens for peers.
+struct peer_address
+{
+    instance_name name;
+    boost::asio::ip::tcp::endpoint address;
+};
+
+/// Sends calls to instances and learns from their answers.
+class dispatcher
+{
+public:
+    struct parts
+    {
+        instance_name self;
+        balancer* instances = nullptr;
+        peer_client* peers = nullptr;
+        std::shared_ptr<backend_gate> gate;
+        /// Returns the address of an instance's node.
+        std::function<std::optional<peer_address>(const instance_name&)> locate;
+        /// Returns an instance that is to be used for a request that may
+        /// crash backend servers; nothing for an ordinary request.
+        std::function<std::optional<instance_name>(
+            const service_name&, std::uint64_t fingerprint)>
+            place_suspect;
+    };
+
+    dispatcher(const boost::asio::any_io_executor& executor, parts wiring);
+
+    /// Sends the call, and again where the outcome and the budget allow it.
+    /// @param budget extra attempts that this node holds for the request
+    awaitable<call_answer>
+    call(outgoing_call call, retry_budget& budget, cancel_event canceled);
+
+    /// Sends a request to a peer as it is and returns its answer with its
+    /// notes taken out.
+    awaitable<call_answer> send_to_peer(
+        peer_address to, streamed_request request, time_point deadline,
+        cancel_event canceled, std::uint32_t* retries_unspent);
+
+    /// Number of attempts beyond the first one of a call.
+    std::uint64_t retries() const { return retries_; }
+
+private:
+    struct attempt;
+
+    awaitable<attempt> try_instance(
+        outgoing_call& call, const instance_name& instance,
+        std::uint32_t handed, cancel_event canceled);
+    awaitable<streamed_response> send(
+        const instance_name& instance, request_context context,
+        streamed_request request, cancel_event canceled);
+
+    boost::asio::any_io_executor executor_;
+    parts parts_;
+    std::uint64_t retries_ = 0;
+};
+
+} // namespace fulmarjunction
--- /dev/null
+++ b/include/fulmarjunction/serving/entry.hpp
@@ -0,0 +1,122 @@
+/// @file
+/// The path of a request from a caller into the fleet.
+#pragma once
+
+#include <fulmarjunction/catalog/catalog.hpp>
+#include <fulmarjunction/http/http.hpp>
+#include <fulmarjunction/serving/dispatcher.hpp>
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace fulmarjunction {
+
+/// Idempotency keys, or why none are issued.
+using issued_keys = std::variant<std::vector<std::string>, refusal>;
+
+/// What the entry asks other parts of the node.
+struct entry_hooks
+{
+    /// Returns whether keys may be trusted: false when withdrawals may have
+    /// been missed.
+    std::function<bool()> is_fresh;
+    /// Charges one request to an account; may wait for a token.
+    /// @return nothing when charged, else why not
+    std::function<awaitable<std::optional<refusal>>(
+        client_account account, time_point deadline)>
+        charge;
+    /// Returns why a root cannot finish now, if so.
+    std::function<std::optional<refusal>(
+        const endpoint_definition& endpoint, request_priority priority)>
+        refuse_early;
+    /// Tells how a root on an endpoint ended.
+    std::function<void(
+        const endpoint_definition& endpoint, request_priority priority,
+        const std::optional<refusal>& why)>
+        ended;
+    /// Runs a unique request at the issuer of its idempotency key.
+    std::function<awaitable<call_answer>(
+        outgoing_call call, retry_budget& budget, cancel_event canceled)>
+        run_unique;
+    /// Issues idempotency keys.
+    std::function<issued_keys(const client_account& account, std::size_t count)>
+        issue_keys;
+};
+
+/// Counts of requests by how they ended.
+struct serving_counters
+{
+    std::uint64_t answered = 0;
+    std::map<std::pair<outcome, refusal_reason>, std::uint64_t> refused;
+
+    void count(const std::optional<refusal>& why);
+};
+
+/// Makes the answer that a caller or a backend server gets for a refusal.
+streamed_response
+caller_refusal(const refusal& why, const std::string& request_id);
+
+/// Returns the path of a target, without its query.
+std::string_view path_of(std::string_view target);
+
+/// Makes the answer to a request for idempotency keys.
+/// @param body `{"count":N}`, N from 1 to 1000
+awaitable<streamed_response> answer_key_request(
+    body_reader body, client_account account,
+    std::function<issued_keys(const client_account&, std::size_t)> issue);
+
+/// Serves callers.
+class entry
+{
+public:
+    struct parts
+    {
+        const catalog* config = nullptr;
+        dispatcher* calls = nullptr;
+        std::string pepper;
+        std::uint32_t extra_attempts = 2;
+        entry_hooks hooks;
+    };
+
+    entry(const boost::asio::any_io_executor& executor, parts wiring);
+
+    /// Answers one request of a caller.
+    awaitable<streamed_response> handle(http_request request);
+
+    const serving_counters& counters() const { return counters_; }
+
+private:
+    /// Who sent a request, as its key says.
+    struct caller_identity
+    {
+        client_account account;
+        /// The key itself, to make sure that it goes no further.
+        std::string key;
+    };
+    using identified = std::variant<caller_identity, refusal>;
+
+    identified identify(const header_fields& headers) const;
+    std::optional<refusal> check_access(
+        const endpoint_definition& endpoint,
+        const caller_identity& caller) const;
+    awaitable<streamed_response>
+    serve_endpoint(const endpoint_definition& endpoint, http_request request);
+    awaitable<streamed_response> serve_node_path(http_request request);
+    awaitable<std::variant<outgoing_call, refusal>> prepare(
+        const endpoint_definition& endpoint, const caller_identity& caller,
+        streamed_request message);
+    awaitable<call_answer>
+    run(const endpoint_definition& endpoint, outgoing_call call,
+        cancel_event canceled);
+    streamed_response finish(call_answer answer, const std::string& id);
+
+    boost::asio::any_io_executor executor_;
+    parts parts_;
+    serving_counters counters_;
+};
+
+} // namespace fulmarjunction
--- /dev/null
+++ b/src/serving/backend_gate.cpp
@@ -0,0 +1,376 @@
+#include <fulmarjunction/core/log.hpp>
+#include <fulmarjunction/serving/backend_gate.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace fulmarjunction {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// A backend server announces itself each second; three missed
+/// announcements mean that it is not ready.
+constexpr seconds announcement_lifetime(3);
+constexpr milliseconds admission_tick(10);
+/// How often a request that must run alone looks whether it may start.
+constexpr milliseconds alone_poll(5);
+/// One crash breaks many connections; it is looked into once.
+constexpr milliseconds crash_check_pause(200);
+/// Longest time without progress in a body to or from the backend server.
+constexpr seconds body_idle_limit(10);
+
+bool refused_before_running(const streamed_response& response)
+{
+    return response.status == 503 &&
+           find_header(response.headers, "fulmar-not-run") == "1";
+}
+
+} // namespace
+
+std::uint64_t request_fingerprint(
+    const request_context& context, std::string_view method,
+    std::string_view target, std::string_view body_prefix)
+{
+    auto hash = XXH3_64bits(context.account.data(), context.account.size());
+    for (const std::string_view part :
+         {std::string_view(context.endpoint), method, target, body_prefix})
+        hash = XXH3_64bits_withSeed(part.data(), part.size(), hash);
+    return hash;
+}
+
+/// A request that waits for admission.
+struct backend_gate::waiter
+{
+    explicit waiter(const asio::any_io_executor& executor) : signal(executor) {}
+
+    cancel_event signal;
+    std::optional<admission_event> event;
+};
+
+/// Ends a started request when the last part of it is done.
+class backend_gate::run_guard
+{
+public:
+    run_guard(
+        std::shared_ptr<backend_gate> gate, std::uint64_t id,
+        std::uint64_t fingerprint, std::shared_ptr<running_request> request)
+        : gate_(std::move(gate)), id_(id), fingerprint_(fingerprint),
+          request_(std::move(request)), token_(gate_->running_.add(request_))
+    {
+        gate_->running_fingerprints_.emplace(id_, fingerprint_);
+    }
+    run_guard(const run_guard&) = delete;
+    run_guard& operator=(const run_guard&) = delete;
+
+    ~run_guard()
+    {
+        gate_->running_.remove(token_);
+        gate_->running_fingerprints_.erase(id_);
+        if (how_ == completion::succeeded && gate_->isolation_.survived)
+            gate_->isolation_.survived(fingerprint_);
+        request_->canceled.cancel();
+        gate_->finish(id_, how_);
+    }
+
+    void ended(completion how) { how_ = how; }
+    const std::string& token() const { return token_; }
+    const running_request& request() const { return *request_; }
+
+private:
+    std::shared_ptr<backend_gate> gate_;
+    std::uint64_t id_;
+    std::uint64_t fingerprint_;
+    std::shared_ptr<running_request> request_;
+    std::string token_;
+    completion how_ = completion::canceled;
+};
+
+backend_gate::backend_gate(
+    const asio::any_io_executor& executor, const admission_settings& settings,
+    timer_service& timers, isolation_hooks isolation)
+    : executor_(executor), admission_(settings, clock::now()),
+      isolation_(std::move(isolation))
+{
+    ticks_ = timers.every(admission_tick, [this](time_point now) {
+        apply(admission_.tick(now));
+        const bool is_ready = backend() != nullptr;
+        if (std::exchange(was_ready_, is_ready) != is_ready && on_change)
+            on_change();
+    });
+}
+
+backend_gate::~backend_gate() = default;
+
+void backend_gate::announced(const backend_announcement& announcement)
+{
+    const auto now = clock::now();
+    const bool is_new = !client_ || backend() == nullptr ||
+                        announcement.address != announcement_.address;
+    const bool is_other = announcement.draining != announcement_.draining ||
+                          announcement.service != announcement_.service ||
+                          announcement.slots != announcement_.slots;
+    announcement_ = announcement;
+    announced_at_ = now;
+    if (is_new) {
+        log(log_level::info, "backend_announced",
+            {{"service", announcement.service},
+             {"address", announcement.address.address().to_string()},
+             {"port", announcement.address.port()},
+             {"slots", announcement.slots}});
+        client_ = std::make_unique<http_client>(
+            executor_, announcement.address, http_limits{});
+        admission_.restarted(announcement.slots, now);
+        was_ready_ = true;
+    }
+    if ((is_new || is_other) && on_change)
+        on_change();
+}
+
+const backend_announcement* backend_gate::backend() const
+{
+    const bool is_current =
+        client_ && clock::now() - announced_at_ < announcement_lifetime;
+    return is_current ? &announcement_ : nullptr;
+}
+
+admission_level backend_gate::level() const
+{
+    return admission_.level(clock::now());
+}
+
+void backend_gate::apply(const admission_events& events)
+{
+    for (const auto& event : events) {
+        const auto id =
+            std::visit([](const auto& one) { return one.id; }, event);
+        const auto found = waiters_.find(id);
+        if (found == waiters_.end())
+            continue;
+        const auto waiting = found->second;
+        waiters_.erase(found);
+        waiting->event = event;
+        waiting->signal.cancel();
+    }
+}
+
+void backend_gate::finish(std::uint64_t id, completion how)
+{
+    apply(admission_.finish(id, how, clock::now()));
+}
+
+awaitable<std::optional<refusal>>
+backend_gate::admit(admission_request offered, cancel_event canceled)
+{
+    const auto id = offered.id;
+    const auto waiting = std::make_shared<waiter>(executor_);
+    waiters_.emplace(id, waiting);
+    apply(admission_.offer(offered, clock::now()));
+    if (!waiting->event) {
+        canceled.on_cancel([self = weak_from_this(), id, waiting] {
+            const auto gate = self.lock();
+            if (!gate || waiting->event)
+                return;
+            gate->waiters_.erase(id);
+            gate->apply(gate->admission_.cancel(id, clock::now()));
+            waiting->event = admission_refuse{
+                id, {outcome::not_run, refusal_reason::deadline_expired, 0}};
+            waiting->signal.cancel();
+        });
+        co_await waiting->signal.wait();
+    }
+    if (const auto* refused = std::get_if<admission_refuse>(&*waiting->event))
+        co_return refused->why;
+    co_return std::nullopt;
+}
+
+awaitable<streamed_response> backend_gate::serve(
+    request_context context, streamed_request request, cancel_event canceled)
+{
+    const auto keep = shared_from_this();
+    answer_notes notes;
+    notes.retries_unspent = context.retries;
+    if (backend() == nullptr) {
+        co_return refusal_answer(
+            {outcome::not_run, refusal_reason::no_instance, 0}, notes);
+    }
+    auto body = co_await buffer_request_body(std::move(request.body));
+    if (!body) {
+        co_return refusal_answer(
+            {outcome::not_run, refusal_reason::malformed, 0}, notes);
+    }
+    const auto fingerprint = request_fingerprint(
+        context, request.method, request.target, body.value().prefix);
+    const auto treatment = isolation_.classify
+                               ? isolation_.classify(fingerprint)
+                               : isolation::none;
+    if (treatment == isolation::refuse) {
+        co_return refusal_answer(
+            {outcome::not_run, refusal_reason::suspect_request, 0}, notes);
+    }
+    request.body = body.value().open();
+
+    const auto id = next_id_++;
+    admission_request offered{
+        id,           context.rank,     context.account, context.weight,
+        context.root, context.invested, context.deadline};
+    if (const auto refused = co_await admit(std::move(offered), canceled)) {
+        notes.level = level();
+        co_return refusal_answer(*refused, notes);
+    }
+    const bool alone = treatment == isolation::run_alone;
+    co_await wait_for_turn(canceled, alone);
+    auto response = co_await run(
+        std::move(context), std::move(request), std::move(canceled), id,
+        fingerprint);
+    if (alone)
+        --suspects_here_;
+    co_return response;
+}
+
+awaitable<void> backend_gate::wait_for_turn(cancel_event canceled, bool alone)
+{
+    // A request that may crash the backend server must not take others down
+    // with it, and the others must not be blamed for its crash.
+    const auto is_blocked = [this, alone] {
+        return alone ? running_.size() != 0 : suspects_here_ != 0;
+    };
+    if (alone)
+        ++suspects_here_;
+    while (is_blocked() && !canceled.is_canceled()) {
+        asio::steady_timer timer(executor_, alone_poll);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+awaitable<streamed_response> backend_gate::run(
+    request_context context, streamed_request request, cancel_event canceled,
+    std::uint64_t id, std::uint64_t fingerprint)
+{
+    const auto deadline = context.deadline;
+    auto running =
+        std::make_shared<running_request>(std::move(context), canceled);
+    // The calls that the request makes end with it, not only with its
+    // caller, so they get an event of their own.
+    running->canceled = cancel_event(executor_);
+    canceled.on_cancel([children = running->canceled] { children.cancel(); });
+    const auto guard = std::make_shared<run_guard>(
+        shared_from_this(), id, fingerprint, running);
+
+    const auto left = to_milliseconds(deadline - clock::now());
+    if (left <= 0) {
+        guard->ended(completion::refused);
+        co_return refusal_answer(
+            {outcome::not_run, refusal_reason::deadline_expired, 0},
+            notes_of(*guard));
+    }
+    strip_internal_fields(request.headers);
+    for (const auto* name :
+         {"fulmar-parent", "fulmar-timeout-ms", "fulmar-account",
+          "fulmar-not-run", "authorization"})
+        remove_header(request.headers, name);
+    request.headers.push_back({"fulmar-parent", guard->token()});
+    request.headers.push_back({"fulmar-timeout-ms", std::to_string(left)});
+    request.headers.push_back(
+        {"fulmar-account", guard->request().context.account});
+    if (!client_) {
+        guard->ended(completion::refused);
+        co_return refusal_answer(
+            {outcome::not_run, refusal_reason::no_instance, 0},
+            notes_of(*guard));
+    }
+    auto response = co_await run_cancelable(
+        client_->send(std::move(request), deadline), canceled, "call backend");
+    if (!response)
+        co_return failed_answer(*guard, response.error());
+    if (refused_before_running(response.value())) {
+        guard->ended(completion::refused);
+        co_return refusal_answer(
+            {outcome::not_run, refusal_reason::overloaded, 0},
+            notes_of(*guard));
+    }
+    auto answer = std::move(response.value());
+    strip_internal_fields(answer.headers);
+    write_notes(answer.headers, notes_of(*guard));
+    auto limited = with_idle_limit(
+        std::move(answer.body), executor_, body_idle_limit, "backend");
+    answer.body = with_end_hook(std::move(limited), [guard](bool complete) {
+        guard->ended(complete ? completion::succeeded : completion::failed);
+    });
+    co_return answer;
+}
+
+streamed_response
+backend_gate::failed_answer(run_guard& guard, const error& problem)
+{
+    auto notes = notes_of(guard);
+    if (problem.code == errc::connection_failed) {
+        guard.ended(completion::failed);
+        check_for_crash();
+        return refusal_answer(
+            {outcome::not_run, refusal_reason::no_instance, 0}, notes);
+    }
+    if (problem.code == errc::timeout) {
+        guard.ended(completion::timed_out);
+        return refusal_answer(
+            {outcome::unknown, refusal_reason::deadline_expired, 0}, notes);
+    }
+    if (problem.code == errc::canceled) {
+        guard.ended(completion::canceled);
+        return refusal_answer(
+            {outcome::unknown, refusal_reason::backend_failed, 0}, notes);
+    }
+    guard.ended(completion::failed);
+    if (problem.code == errc::connection_broken)
+        check_for_crash();
+    return refusal_answer(
+        {outcome::unknown, refusal_reason::backend_failed, 0}, notes);
+}
+
+answer_notes backend_gate::notes_of(const run_guard& guard) const
+{
+    answer_notes notes;
+    notes.retries_unspent = guard.request().budget.left();
+    notes.level = level();
+    notes.load = std::clamp(announcement_.load, 0.0, 1.0);
+    return notes;
+}
+
+void backend_gate::check_for_crash()
+{
+    // All connections of a crashed backend server break together, so what
+    // is still marked as running when the first one breaks ran with it.
+    const auto now = clock::now();
+    if (!isolation_.crashed || now - crash_checked_at_ < crash_check_pause)
+        return;
+    crash_checked_at_ = now;
+    asio::co_spawn(
+        executor_,
+        [self = shared_from_this(), address = announcement_.address,
+         running = running_fingerprints_]() -> awaitable<void> {
+            asio::ip::tcp::socket socket(self->executor_);
+            boost::system::error_code problem;
+            co_await socket.async_connect(
+                address, asio::redirect_error(asio::use_awaitable, problem));
+            if (!problem)
+                co_return;
+            std::vector<std::uint64_t> fingerprints;
+            fingerprints.reserve(running.size());
+            for (const auto& [id, fingerprint] : running)
+                fingerprints.push_back(fingerprint);
+            self->isolation_.crashed(fingerprints);
+            self->announced_at_ = {};
+        },
+        asio::detached);
+}
+
+} // namespace fulmarjunction
--- /dev/null
+++ b/src/serving/dispatcher.cpp
@@ -0,0 +1,185 @@
+#include <fulmarjunction/core/log.hpp>
+#include <fulmarjunction/serving/dispatcher.hpp>
+
+#include <set>
+#include <utility>
+
+namespace fulmarjunction {
+
+namespace {
+
+/// A peer enforces the deadline itself; waiting a little longer lets its
+/// more exact answer arrive.
+constexpr milliseconds answer_grace(50);
+/// Longest time without progress in the body of an answer.
+constexpr seconds body_idle_limit(15);
+
+refusal refusal_of(const error& problem)
+{
+    if (problem.code == errc::connection_failed)
+        return {outcome::not_run, refusal_reason::no_instance, 0};
+    if (problem.code == errc::timeout)
+        return {outcome::unknown, refusal_reason::deadline_expired, 0};
+    return {outcome::unknown, refusal_reason::backend_failed, 0};
+}
+
+/// Makes the answer that stands for a failure to reach a peer.
+streamed_response failure_answer(const error& problem)
+{
+    return refusal_answer(refusal_of(problem), {});
+}
+
+/// The child part of a budget: half, rounded up, so that an attempt is left
+/// here when the answer that would return the rest is lost.
+std::uint32_t part_for_child(const retry_budget& budget)
+{
+    return (budget.left() + 1) / 2;
+}
+
+} // namespace
+
+/// One attempt, with what is learned from it.
+struct dispatcher::attempt
+{
+    call_answer answer;
+    std::uint32_t unspent = 0;
+};
+
+dispatcher::dispatcher(
+    const boost::asio::any_io_executor& executor, parts wiring)
+    : executor_(executor), parts_(std::move(wiring))
+{
+}
+
+awaitable<call_answer> dispatcher::call(
+    outgoing_call call, retry_budget& budget, cancel_event canceled)
+{
+    const auto priority = priority_of(call.context.rank, call.context.root);
+    const auto fingerprint = request_fingerprint(
+        call.context, call.method, call.target, call.body.prefix);
+    const auto suspect_place =
+        parts_.place_suspect
+            ? parts_.place_suspect(call.context.service, fingerprint)
+            : std::nullopt;
+    std::set<instance_name> tried;
+    refusal last{outcome::not_run, refusal_reason::deadline_expired, 0};
+    for (;;) {
+        const auto now = clock::now();
+        if (now >= call.context.deadline || canceled.is_canceled())
+            co_return last;
+        auto choice = parts_.instances->choose(
+            call.context.service, priority, tried, now);
+        if (suspect_place && tried.empty())
+            choice.instance = suspect_place;
+        if (!choice.instance)
+            co_return tried.empty() ? choice.why : last;
+        const auto handed = budget.hand_down(part_for_child(budget));
+        auto tried_once =
+            co_await try_instance(call, *choice.instance, handed, canceled);
+        budget.give_back(handed, tried_once.unspent);
+        if (std::holds_alternative<streamed_response>(tried_once.answer))
+            co_return std::move(tried_once.answer);
+        last = std::get<refusal>(tried_once.answer);
+        const failed_attempt failed{
+            last.what, last.reason, call.context.kind, false,
+            call.body.is_whole};
+        if (suspect_place || !may_retry(failed) || !budget.spend())
+            co_return last;
+        ++retries_;
+        tried.insert(*choice.instance);
+    }
+}
+
+awaitable<dispatcher::attempt> dispatcher::try_instance(
+    outgoing_call& call, const instance_name& instance, std::uint32_t handed,
+    cancel_event canceled)
+{
+    auto context = call.context;
+    context.retries = handed;
+    streamed_request request{
+        call.method, call.target, call.headers, call.content_length, {}};
+    // `open` consumes a body that is not whole; such a call has one attempt.
+    request.body = call.body.open();
+
+    const auto started = clock::now();
+    parts_.instances->sent(instance, started);
+    auto answer = co_await send(
+        instance, std::move(context), std::move(request), canceled);
+    auto notes = take_notes(answer.headers);
+    if (!notes)
+        notes = answer_notes{outcome::unknown, refusal_reason::backend_failed};
+    const auto ended = [balance = parts_.instances, instance,
+                        observed = routing_observation{
+                            notes.value().what, notes.value().reason,
+                            clock::now() - started, notes.value().level,
+                            notes.value().load}](bool) {
+        balance->ended(instance, observed, clock::now());
+    };
+    const auto unspent = notes.value().retries_unspent;
+    if (notes.value().what == outcome::answered) {
+        answer.body = with_end_hook(std::move(answer.body), ended);
+        co_return attempt{std::move(answer), unspent};
+    }
+    ended(false);
+    const refusal why{
+        notes.value().what,
+        notes.value().reason.value_or(refusal_reason::backend_failed),
+        notes.value().retry_after_ms};
+    co_return attempt{why, unspent};
+}
+
+awaitable<streamed_response> dispatcher::send(
+    const instance_name& instance, request_context context,
+    streamed_request request, cancel_event canceled)
+{
+    if (instance == parts_.self) {
+        co_return co_await parts_.gate->serve(
+            std::move(context), std::move(request), canceled);
+    }
+    const auto to = parts_.locate(instance);
+    if (!to)
+        co_return failure_answer(error{errc::connection_failed, "locate"});
+    const auto deadline = context.deadline + answer_grace;
+    strip_internal_fields(request.headers);
+    write_context(request.headers, context, clock::now());
+    request.headers.push_back({"fj-kind", "call"});
+    auto answer = co_await run_cancelable(
+        parts_.peers->send(to->address, to->name, std::move(request), deadline),
+        canceled, "call peer");
+    if (!answer) {
+        log(log_level::info, "call_failed",
+            {{"peer", instance}, {"error", to_string(answer.error())}});
+        co_return failure_answer(answer.error());
+    }
+    answer.value().body = with_idle_limit(
+        std::move(answer.value().body), executor_, body_idle_limit, instance);
+    co_return std::move(answer.value());
+}
+
+awaitable<call_answer> dispatcher::send_to_peer(
+    peer_address to, streamed_request request, time_point deadline,
+    cancel_event canceled, std::uint32_t* retries_unspent)
+{
+    auto answer = co_await run_cancelable(
+        parts_.peers->send(
+            to.address, to.name, std::move(request), deadline + answer_grace),
+        canceled, "call peer");
+    if (!answer)
+        co_return refusal_of(answer.error());
+    auto notes = take_notes(answer.value().headers);
+    if (!notes)
+        co_return refusal{outcome::unknown, refusal_reason::backend_failed};
+    if (retries_unspent != nullptr)
+        *retries_unspent = notes.value().retries_unspent;
+    if (notes.value().what != outcome::answered) {
+        co_return refusal{
+            notes.value().what,
+            notes.value().reason.value_or(refusal_reason::backend_failed),
+            notes.value().retry_after_ms};
+    }
+    answer.value().body = with_idle_limit(
+        std::move(answer.value().body), executor_, body_idle_limit, to.name);
+    co_return std::move(answer.value());
+}
+
+} // namespace fulmarjunction
--- /dev/null
+++ b/src/serving/egress.cpp
@@ -0,0 +1,204 @@
+#include <fulmarjunction/serving/egress.hpp>
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace fulmarjunction {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::size_t max_announcement_bytes = 4096;
+constexpr std::int64_t max_slots = 100'000;
+
+refusal not_run(refusal_reason why)
+{
+    return {outcome::not_run, why, 0};
+}
+
+auto bad_announcement(std::string field)
+{
+    return fail(errc::malformed, "read announcement", {}, std::move(field));
+}
+
+result<boost::asio::ip::tcp::endpoint> parse_address(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+        return bad_announcement("address");
+    boost::system::error_code problem;
+    const auto address = boost::asio::ip::make_address(
+        std::string(text.substr(0, colon)), problem);
+    if (problem)
+        return bad_announcement("address");
+    unsigned port = 0;
+    const auto digits = text.substr(colon + 1);
+    const auto parsed =
+        std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    const bool is_whole = parsed.ptr == digits.data() + digits.size();
+    if (parsed.ec != std::errc() || !is_whole || port == 0 || port > 65535)
+        return bad_announcement("address");
+    return boost::asio::ip::tcp::endpoint(
+        address, static_cast<std::uint16_t>(port));
+}
+
+} // namespace
+
+result<backend_announcement> parse_announcement(std::string_view text)
+{
+    boost::system::error_code problem;
+    const auto document = json::parse(text, problem);
+    const auto* fields = problem ? nullptr : document.if_object();
+    if (fields == nullptr)
+        return bad_announcement("document");
+    const auto* service = fields->if_contains("service");
+    if (service == nullptr || !service->is_string() ||
+        service->get_string().empty())
+        return bad_announcement("service");
+    const auto* address = fields->if_contains("address");
+    if (address == nullptr || !address->is_string())
+        return bad_announcement("address");
+    const auto* slots = fields->if_contains("slots");
+    if (slots == nullptr || !slots->is_int64() || slots->get_int64() < 1 ||
+        slots->get_int64() > max_slots)
+        return bad_announcement("slots");
+    backend_announcement announcement;
+    announcement.service = std::string(service->get_string());
+    BOOST_OUTCOME_TRY(
+        announcement.address, parse_address(address->get_string()));
+    announcement.slots = static_cast<std::size_t>(slots->get_int64());
+    if (const auto* load = fields->if_contains("load")) {
+        if (!load->is_number())
+            return bad_announcement("load");
+        announcement.load = std::clamp(load->to_number<double>(), 0.0, 1.0);
+    }
+    if (const auto* draining = fields->if_contains("draining")) {
+        if (!draining->is_bool())
+            return bad_announcement("draining");
+        announcement.draining = draining->get_bool();
+    }
+    return announcement;
+}
+
+egress::egress(const boost::asio::any_io_executor& executor, parts wiring)
+    : executor_(executor), parts_(std::move(wiring))
+{
+}
+
+awaitable<streamed_response> egress::handle(http_request request)
+{
+    const auto path = path_of(request.message.target);
+    const bool is_post = request.message.method == "POST";
+    if (is_post && path == "/fulmar/announce")
+        co_return co_await announce(std::move(request.message.body));
+    const auto token = find_header(request.message.headers, "fulmar-parent");
+    auto parent = token ? parts_.gate->running().find(*token) : nullptr;
+    if (!parent) {
+        // The account comes from the parent alone, so a call without one
+        // has none to run for.
+        const auto why = not_run(refusal_reason::unknown_parent);
+        counters_.count(why);
+        co_return caller_refusal(why, "");
+    }
+    if (is_post && path == "/fulmar/idempotency-keys") {
+        co_return co_await answer_key_request(
+            std::move(request.message.body), parent->context.account,
+            parts_.issue_keys);
+    }
+    co_return co_await call_child(std::move(request), std::move(parent));
+}
+
+awaitable<streamed_response> egress::announce(body_reader body)
+{
+    const auto text =
+        co_await read_body(std::move(body), max_announcement_bytes);
+    const auto announcement = text ? parse_announcement(text.value())
+                                   : result<backend_announcement>(text.error());
+    if (!announcement)
+        co_return caller_refusal(not_run(refusal_reason::malformed), "");
+    parts_.gate->announced(announcement.value());
+    streamed_response answer;
+    answer.status = 204;
+    answer.body = empty_body();
+    co_return answer;
+}
+
+awaitable<streamed_response> egress::call_child(
+    http_request request, std::shared_ptr<running_request> parent)
+{
+    const auto id = to_string(parent->context.root);
+    const auto* endpoint = parts_.config->find_endpoint(
+        request.message.method, request.message.target);
+    if (endpoint == nullptr) {
+        const auto why = not_run(refusal_reason::endpoint_unknown);
+        counters_.count(why);
+        co_return caller_refusal(why, id);
+    }
+    const auto definition = *endpoint;
+    auto answer =
+        co_await run(definition, std::move(request), std::move(parent));
+    if (const auto* why = std::get_if<refusal>(&answer)) {
+        counters_.count(*why);
+        co_return caller_refusal(*why, id);
+    }
+    counters_.count(std::nullopt);
+    auto response = std::move(std::get<streamed_response>(answer));
+    strip_internal_fields(response.headers);
+    response.headers.push_back(
+        {"fulmar-outcome", std::string(to_string(outcome::answered))});
+    co_return response;
+}
+
+awaitable<call_answer> egress::run(
+    const endpoint_definition& endpoint, http_request request,
+    std::shared_ptr<running_request> parent)
+{
+    auto& message = request.message;
+    auto body = co_await buffer_request_body(std::move(message.body));
+    if (!body)
+        co_return not_run(refusal_reason::malformed);
+    outgoing_call call;
+    // Account, root, importance and weight are the parent's, from this
+    // node's memory: a backend server cannot name another account.
+    call.context = parent->context;
+    call.context.endpoint = endpoint.name;
+    call.context.service = endpoint.service;
+    call.context.kind = endpoint.kind;
+    call.context.deadline =
+        std::min(parent->context.deadline, clock::now() + endpoint.timeout);
+    ++call.context.depth;
+    call.context.invested = true;
+    call.context.idempotency_key.clear();
+    if (endpoint.kind == execution::unique) {
+        const auto key = find_header(message.headers, "idempotency-key");
+        if (!key)
+            co_return not_run(refusal_reason::idempotency_key_required);
+        call.context.idempotency_key = std::string(*key);
+    }
+    call.method = std::move(message.method);
+    call.target = std::move(message.target);
+    call.headers = std::move(message.headers);
+    strip_internal_fields(call.headers);
+    std::erase_if(call.headers, [](const header_field& field) {
+        return field.name == "authorization" ||
+               field.name.starts_with("fulmar-");
+    });
+    call.content_length = message.content_length;
+    call.body = std::move(body.value());
+
+    const cancel_event canceled(executor_);
+    request.on_cancel([canceled] { canceled.cancel(); });
+    parent->canceled.on_cancel([canceled] { canceled.cancel(); });
+    // Retries of this call are paid from the parent's budget.
+    if (endpoint.kind == execution::unique) {
+        co_return co_await parts_.run_unique(
+            std::move(call), parent->budget, canceled);
+    }
+    co_return co_await parts_.calls->call(
+        std::move(call), parent->budget, canceled);
+}
+
+} // namespace fulmarjunction
--- /dev/null
+++ b/src/serving/entry.cpp
@@ -0,0 +1,360 @@
+#include <fulmarjunction/serving/entry.hpp>
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace fulmarjunction {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::string_view node_prefix = "/fulmar/";
+constexpr std::string_view bearer_prefix = "Bearer ";
+constexpr std::size_t max_key_request_bytes = 1024;
+constexpr std::int64_t max_keys_at_once = 1000;
+
+refusal not_run(refusal_reason why, std::int64_t retry_after_ms = 0)
+{
+    return {outcome::not_run, why, retry_after_ms};
+}
+
+/// Returns the text with %XX sequences decoded; bad sequences stay.
+std::string percent_decoded(std::string_view text)
+{
+    std::string decoded;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        unsigned value = 0;
+        if (text[i] == '%' && i + 2 < text.size()) {
+            const char* const first = text.data() + i + 1;
+            const auto parsed = std::from_chars(first, first + 2, value, 16);
+            if (parsed.ec == std::errc() && parsed.ptr == first + 2) {
+                decoded += static_cast<char>(value);
+                i += 2;
+                continue;
+            }
+        }
+        decoded += text[i];
+    }
+    return decoded;
+}
+
+/// Returns whether the key stands anywhere in the head but in the first
+/// Authorization field, which is removed before the request goes on.
+bool is_key_misplaced(const streamed_request& message, std::string_view key)
+{
+    if (key.empty())
+        return false;
+    if (percent_decoded(message.target).find(key) != std::string::npos)
+        return true;
+    std::size_t authorizations = 0;
+    for (const auto& field : message.headers) {
+        if (field.name == "authorization") {
+            ++authorizations;
+            continue;
+        }
+        if (percent_decoded(field.value).find(key) != std::string::npos ||
+            field.name.find(key) != std::string::npos)
+            return true;
+    }
+    return authorizations > 1;
+}
+
+/// Returns the time that the caller allows, bounded by the endpoint's.
+/// Nothing when the field is not a positive number.
+std::optional<milliseconds>
+allowed_time(const header_fields& headers, milliseconds longest)
+{
+    const auto text = find_header(headers, "fulmar-timeout-ms");
+    if (!text)
+        return longest;
+    std::int64_t value = 0;
+    const auto parsed =
+        std::from_chars(text->data(), text->data() + text->size(), value);
+    if (parsed.ec != std::errc() || parsed.ptr != text->data() + text->size())
+        return std::nullopt;
+    if (value <= 0)
+        return std::nullopt;
+    return std::min(longest, milliseconds(value));
+}
+
+/// Removes the fields that only a node may set, and the caller's key.
+void strip_caller_fields(header_fields& headers)
+{
+    strip_internal_fields(headers);
+    std::erase_if(headers, [](const header_field& field) {
+        return field.name == "authorization" ||
+               field.name.starts_with("fulmar-");
+    });
+}
+
+} // namespace
+
+void serving_counters::count(const std::optional<refusal>& why)
+{
+    if (why)
+        ++refused[{why->what, why->reason}];
+    else
+        ++answered;
+}
+
+std::string_view path_of(std::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+streamed_response
+caller_refusal(const refusal& why, const std::string& request_id)
+{
+    const json::object body{
+        {"outcome", to_string(why.what)},
+        {"reason", to_string(why.reason)},
+        {"retry_after_ms", why.retry_after_ms},
+        {"request_id", request_id},
+    };
+    auto text = json::serialize(body) + "\n";
+    streamed_response answer;
+    answer.status = http_status(why.reason);
+    answer.headers = {
+        {"content-type", "application/json"},
+        {"fulmar-outcome", std::string(to_string(why.what))},
+        {"fulmar-request-id", request_id},
+    };
+    if (why.retry_after_ms > 0) {
+        const auto whole_seconds = (why.retry_after_ms + 999) / 1000;
+        answer.headers.push_back(
+            {"retry-after", std::to_string(whole_seconds)});
+    }
+    answer.content_length = text.size();
+    answer.body = string_body(std::move(text));
+    return answer;
+}
+
+awaitable<streamed_response> answer_key_request(
+    body_reader body, client_account account,
+    std::function<issued_keys(const client_account&, std::size_t)> issue)
+{
+    const auto text =
+        co_await read_body(std::move(body), max_key_request_bytes);
+    if (!text)
+        co_return caller_refusal(not_run(refusal_reason::malformed), "");
+    boost::system::error_code problem;
+    const auto document = json::parse(text.value(), problem);
+    const auto* fields = problem ? nullptr : document.if_object();
+    const auto* count =
+        fields != nullptr ? fields->if_contains("count") : nullptr;
+    const auto* number = count != nullptr ? count->if_int64() : nullptr;
+    if (number == nullptr || *number < 1 || *number > max_keys_at_once)
+        co_return caller_refusal(not_run(refusal_reason::malformed), "");
+    const auto issued = issue(account, static_cast<std::size_t>(*number));
+    if (const auto* why = std::get_if<refusal>(&issued))
+        co_return caller_refusal(*why, "");
+    json::array keys;
+    for (const auto& key : std::get<std::vector<std::string>>(issued))
+        keys.emplace_back(key);
+    auto answer_text =
+        json::serialize(json::object{{"keys", std::move(keys)}}) + "\n";
+    streamed_response answer;
+    answer.status = 200;
+    answer.headers = {{"content-type", "application/json"}};
+    answer.content_length = answer_text.size();
+    answer.body = string_body(std::move(answer_text));
+    co_return answer;
+}
+
+entry::entry(const boost::asio::any_io_executor& executor, parts wiring)
+    : executor_(executor), parts_(std::move(wiring))
+{
+}
+
+awaitable<streamed_response> entry::handle(http_request request)
+{
+    if (path_of(request.message.target).starts_with(node_prefix))
+        co_return co_await serve_node_path(std::move(request));
+    const auto* endpoint = parts_.config->find_endpoint(
+        request.message.method, request.message.target);
+    if (endpoint == nullptr) {
+        const auto why = not_run(refusal_reason::endpoint_unknown);
+        counters_.count(why);
+        co_return caller_refusal(why, to_string(random_root()));
+    }
+    // A copy: the configuration may change while the request runs.
+    const auto definition = *endpoint;
+    co_return co_await serve_endpoint(definition, std::move(request));
+}
+
+entry::identified entry::identify(const header_fields& headers) const
+{
+    const auto field = find_header(headers, "authorization");
+    if (!field || !field->starts_with(bearer_prefix))
+        return not_run(refusal_reason::key_missing);
+    const auto text = field->substr(bearer_prefix.size());
+    const auto id = key_id_of(text);
+    if (!id)
+        return not_run(refusal_reason::key_unknown);
+    const auto* record = parts_.config->find_key(*id);
+    if (record == nullptr || !verify_key(text, *record, parts_.pepper))
+        return not_run(refusal_reason::key_unknown);
+    return caller_identity{record->account, std::string(text)};
+}
+
+std::optional<refusal> entry::check_access(
+    const endpoint_definition& endpoint, const caller_identity& caller) const
+{
+    const auto* plan = parts_.config->plan_of(caller.account);
+    if (plan == nullptr || !plan->endpoints.contains(endpoint.name))
+        return not_run(refusal_reason::endpoint_not_in_plan);
+    return std::nullopt;
+}
+
+awaitable<std::variant<outgoing_call, refusal>> entry::prepare(
+    const endpoint_definition& endpoint, const caller_identity& caller,
+    streamed_request message)
+{
+    if (is_key_misplaced(message, caller.key))
+        co_return not_run(refusal_reason::key_misplaced);
+    const auto time = allowed_time(message.headers, endpoint.timeout);
+    if (!time)
+        co_return not_run(refusal_reason::malformed);
+    auto body = co_await buffer_request_body(
+        guard_secret(std::move(message.body), caller.key));
+    if (!body) {
+        co_return not_run(
+            body.error().code == errc::unauthorized
+                ? refusal_reason::key_misplaced
+                : refusal_reason::malformed);
+    }
+    const auto* plan = parts_.config->plan_of(caller.account);
+    outgoing_call call;
+    call.context.account = caller.account;
+    call.context.endpoint = endpoint.name;
+    call.context.service = endpoint.service;
+    call.context.rank = endpoint.rank;
+    call.context.kind = endpoint.kind;
+    call.context.deadline = clock::now() + *time;
+    call.context.root = random_root();
+    call.context.weight = plan != nullptr ? plan->weight : 1.0;
+    if (endpoint.kind == execution::unique) {
+        const auto key = find_header(message.headers, "idempotency-key");
+        if (!key)
+            co_return not_run(refusal_reason::idempotency_key_required);
+        call.context.idempotency_key = std::string(*key);
+    }
+    call.method = std::move(message.method);
+    call.target = std::move(message.target);
+    call.headers = std::move(message.headers);
+    strip_caller_fields(call.headers);
+    call.content_length = message.content_length;
+    call.body = std::move(body.value());
+    co_return call;
+}
+
+awaitable<streamed_response>
+entry::serve_endpoint(const endpoint_definition& endpoint, http_request request)
+{
+    const auto refuse = [this](const refusal& why) {
+        counters_.count(why);
+        return caller_refusal(why, to_string(random_root()));
+    };
+    auto who = identify(request.message.headers);
+    if (endpoint.open) {
+        // A key that is sent along still must not reach a backend server.
+        if (std::holds_alternative<refusal>(who))
+            who = caller_identity{};
+        std::get<caller_identity>(who).account.clear();
+    }
+    if (const auto* why = std::get_if<refusal>(&who))
+        co_return refuse(*why);
+    const auto caller = std::get<caller_identity>(who);
+    if (!endpoint.open) {
+        if (!parts_.hooks.is_fresh())
+            co_return refuse(
+                not_run(refusal_reason::stale_configuration, 1000));
+        if (const auto why = check_access(endpoint, caller))
+            co_return refuse(*why);
+    }
+    const cancel_event canceled(executor_);
+    request.on_cancel([canceled] { canceled.cancel(); });
+    auto prepared =
+        co_await prepare(endpoint, caller, std::move(request.message));
+    if (const auto* why = std::get_if<refusal>(&prepared))
+        co_return refuse(*why);
+    auto call = std::move(std::get<outgoing_call>(prepared));
+    const auto id = to_string(call.context.root);
+    if (!endpoint.open) {
+        const auto why =
+            co_await parts_.hooks.charge(caller.account, call.context.deadline);
+        if (why) {
+            counters_.count(why);
+            co_return caller_refusal(*why, id);
+        }
+        // The key may have been withdrawn while the body was read or a
+        // token was waited for.
+        const auto* record =
+            parts_.config->find_key(key_id_of(caller.key).value_or(""));
+        if (record == nullptr || record->account != caller.account)
+            co_return refuse(not_run(refusal_reason::key_unknown));
+    }
+    co_return finish(co_await run(endpoint, std::move(call), canceled), id);
+}
+
+awaitable<call_answer> entry::run(
+    const endpoint_definition& endpoint, outgoing_call call,
+    cancel_event canceled)
+{
+    const auto priority = priority_of(call.context.rank, call.context.root);
+    if (parts_.hooks.refuse_early) {
+        if (const auto why = parts_.hooks.refuse_early(endpoint, priority))
+            co_return *why;
+    }
+    retry_budget budget(parts_.extra_attempts);
+    auto answer =
+        endpoint.kind == execution::unique
+            ? co_await parts_.hooks.run_unique(
+                  std::move(call), budget, canceled)
+            : co_await parts_.calls->call(std::move(call), budget, canceled);
+    if (parts_.hooks.ended) {
+        const auto* why = std::get_if<refusal>(&answer);
+        parts_.hooks.ended(
+            endpoint, priority,
+            why != nullptr ? std::optional(*why) : std::nullopt);
+    }
+    co_return answer;
+}
+
+streamed_response entry::finish(call_answer answer, const std::string& id)
+{
+    if (const auto* why = std::get_if<refusal>(&answer)) {
+        counters_.count(*why);
+        return caller_refusal(*why, id);
+    }
+    counters_.count(std::nullopt);
+    auto response = std::move(std::get<streamed_response>(answer));
+    strip_internal_fields(response.headers);
+    response.headers.push_back(
+        {"fulmar-outcome", std::string(to_string(outcome::answered))});
+    response.headers.push_back({"fulmar-request-id", id});
+    return response;
+}
+
+awaitable<streamed_response> entry::serve_node_path(http_request request)
+{
+    const auto path = path_of(request.message.target);
+    if (request.message.method != "POST" ||
+        path != "/fulmar/idempotency-keys") {
+        co_return caller_refusal(not_run(refusal_reason::endpoint_unknown), "");
+    }
+    const auto who = identify(request.message.headers);
+    if (const auto* why = std::get_if<refusal>(&who))
+        co_return caller_refusal(*why, "");
+    if (!parts_.hooks.is_fresh())
+        co_return caller_refusal(
+            not_run(refusal_reason::stale_configuration, 1000), "");
+    co_return co_await answer_key_request(
+        std::move(request.message.body), std::get<caller_identity>(who).account,
+        parts_.hooks.issue_keys);
+}
+
+} // namespace fulmarjunction
