Add admission, routing and retry decisions

Cause: the daemon is to be wired against working decision classes. Change: admission controller (adaptive limit, fair queue, levels for each client account), endpoint levels for the entry, balancer, retry budget. The level of a flow (client account, invested or new) extends the declared interface, so that shedding upstream does not hit accounts inside their share.

--- a/include/fulmarjunction/admission/admission.hpp
+++ b/include/fulmarjunction/admission/admission.hpp
@@ -48,8 +48,26 @@
     client_account account;
     double weight = 1;
     root_id root;
+    /// Whether it is a child of an admitted request.
     bool invested = false;
     time_point deadline;
+    /// Service times are estimated for each endpoint apart.
+    endpoint_name endpoint;
+};
+
+/// Requests of one client account that are refused alike.
+struct admission_flow
+{
+    client_account account;
+    bool invested = false;
+
+    bool operator==(const admission_flow&) const = default;
+    bool operator<(const admission_flow& other) const
+    {
+        if (account != other.account)
+            return account < other.account;
+        return invested < other.invested;
+    }
 };
 
 /// The request is to be sent to the backend server now.
@@ -105,8 +123,14 @@
     /// A backend server announced itself or restarted: ramp up again.
     void restarted(std::size_t slots, time_point now);
 
-    /// Returns the level to send upstream.
+    /// Returns the level below which requests of every client account are
+    /// refused.
     admission_level level(time_point now) const;
+
+    /// Returns the level to send upstream with an answer to a request of this
+    /// flow. It is at least `level(now)`: an account above its fair share has
+    /// a higher level than the others.
+    admission_level level(const admission_flow& flow, time_point now) const;
     std::size_t in_flight() const;
     std::size_t waiting() const;
     /// Returns the present concurrency limit.
--- a/include/fulmarjunction/retry/retry_budget.hpp
+++ b/include/fulmarjunction/retry/retry_budget.hpp
@@ -4,6 +4,7 @@
 
 #include <fulmarjunction/core/names.hpp>
 
+#include <cstddef>
 #include <cstdint>
 
 namespace fulmarjunction {
@@ -35,6 +36,10 @@
     std::uint32_t left_;
 };
 
+/// Returns the part of `left` to hand to one child call when this many child
+/// calls, it included, are still to be made; the split is even, rounded up.
+std::uint32_t retry_share(std::uint32_t left, std::size_t children_to_come);
+
 /// What is known when an attempt has failed.
 struct failed_attempt
 {
--- a/include/fulmarjunction/routing/balancer.hpp
+++ b/include/fulmarjunction/routing/balancer.hpp
@@ -38,6 +38,16 @@
     std::optional<admission_level> level;
     /// Reported load in [0, 1], if the answer carried it; a hint.
     std::optional<double> reported_load;
+    /// Flow that the level holds for.
+    admission_flow flow;
+};
+
+/// What a choice depends on, besides the instances.
+struct routing_request
+{
+    service_name service;
+    request_priority priority = 0;
+    admission_flow flow;
 };
 
 /// Result of a choice: an instance, or why there is none.
@@ -68,6 +78,12 @@
         const service_name& service, request_priority priority,
         const std::set<instance_name>& excluded, time_point now);
 
+    /// Chooses an instance, by the levels of the request's own flow.
+    /// @param excluded instances that this request has tried already
+    routing_choice choose(
+        const routing_request& request, const std::set<instance_name>& excluded,
+        time_point now);
+
     /// A call was sent to the instance.
     void sent(const instance_name& instance, time_point now);
 
--- /dev/null
+++ b/src/retry/retry_budget.cpp
@@ -0,0 +1,59 @@
+#include <fulmarjunction/retry/retry_budget.hpp>
+
+#include <algorithm>
+
+namespace fulmarjunction {
+
+bool retry_budget::spend()
+{
+    if (left_ == 0)
+        return false;
+    --left_;
+    return true;
+}
+
+std::uint32_t retry_budget::hand_down(std::uint32_t wanted)
+{
+    const auto handed = std::min(wanted, left_);
+    left_ -= handed;
+    return handed;
+}
+
+void retry_budget::give_back(std::uint32_t handed, std::uint32_t unspent)
+{
+    // A child that claims more than it was handed would raise the total.
+    left_ += std::min(handed, unspent);
+}
+
+std::uint32_t retry_share(std::uint32_t left, std::size_t children_to_come)
+{
+    if (children_to_come == 0)
+        return 0;
+    const auto children = static_cast<std::uint32_t>(
+        std::min<std::size_t>(children_to_come, left + 1));
+    return (left + children - 1) / children;
+}
+
+bool may_retry(const failed_attempt& attempt)
+{
+    if (attempt.answer_started || !attempt.body_repeatable)
+        return false;
+    if (attempt.what == outcome::answered)
+        return false;
+    if (attempt.what == outcome::unknown && attempt.kind == execution::unique)
+        return false;
+    switch (attempt.reason) {
+    // Another instance may be able to run the request.
+    case refusal_reason::overloaded:
+    case refusal_reason::no_instance:
+    case refusal_reason::draining:
+    case refusal_reason::stale_configuration:
+    case refusal_reason::backend_failed:
+        return true;
+    // The same answer would come from every instance.
+    default:
+        return false;
+    }
+}
+
+} // namespace fulmarjunction
