Add the catalog slice and strict reading of JSON fields

find_endpoint does one hash lookup for each path segment. A path that a backend server might read as another one (dot or empty segments, encoded separators, semicolons) has no endpoint, because it could reach a unique endpoint under the name of an idempotent one.

--- a/include/fulmarjunction/catalog/catalog.hpp
+++ b/include/fulmarjunction/catalog/catalog.hpp
@@ -13,6 +13,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace fulmarjunction {
@@ -79,8 +80,14 @@
 /// Reads the plan list, refusing unknown fields, wrong types, values out of
 /// range and names that occur twice; the error's detail names the field.
 result<plan_list> parse_plan_list(const boost::json::value& document);
+
+/// Reads the list of client accounts, as strictly as the plan list.
 result<account_list> parse_account_list(const boost::json::value& document);
+
+/// Reads the value of a `key/<id>` row.
 result<key_record> parse_key_record(const boost::json::value& document);
+
+/// Returns the document that the parser of the same type reads.
 boost::json::value to_json(const plan_list& list);
 boost::json::value to_json(const account_list& list);
 boost::json::value to_json(const key_record& record);
@@ -99,9 +106,16 @@
         std::string_view row_key, const boost::json::value& value,
         bool deleted);
 
-    /// Returns the endpoint for a method and a target, longest path first.
+    /// Returns the endpoint for a method and a target, longest path first,
+    /// or null. The query is ignored, and percent-encoded unreserved
+    /// characters are decoded. A path that a backend server might read as
+    /// another one (dot segments, empty segments, an encoded slash, a
+    /// backslash, a semicolon, a fragment) has no endpoint: it could
+    /// otherwise reach a unique endpoint under the name of another.
     const endpoint_definition*
     find_endpoint(std::string_view method, std::string_view target) const;
+
+    /// Returns the endpoint with this name, or null.
     const endpoint_definition* find_endpoint(std::string_view name) const;
 
     /// Returns the plan of an account, or null.
@@ -118,9 +132,30 @@
     }
 
 private:
+    /// Hashes strings and views alike, so that a lookup copies nothing.
+    struct text_hash
+    {
+        using is_transparent = void;
+        std::size_t operator()(std::string_view text) const;
+    };
+    template <class T>
+    using text_map =
+        std::unordered_map<std::string, T, text_hash, std::equal_to<>>;
+
+    void set_plans(plan_list plans);
+    void set_accounts(account_list accounts);
+    result<void> apply_key(
+        std::string_view key_id, const boost::json::value& value, bool deleted);
+    const endpoint_definition*
+    find_path(std::string_view method, std::string_view path) const;
+
     account_list accounts_;
     plan_list plans_;
-    std::map<client_account, std::string> plan_by_account_;
+    // Positions in the lists above: pointers would not survive a copy.
+    text_map<text_map<std::size_t>> endpoint_by_path_by_method_;
+    text_map<std::size_t> endpoint_by_name_;
+    text_map<std::size_t> plan_by_name_;
+    text_map<std::string> plan_by_account_;
     std::map<std::string, key_record, std::less<>> keys_;
 };
 
--- /dev/null
+++ b/src/catalog/catalog_test.cpp
@@ -0,0 +1,195 @@
+#include <fulmarjunction/catalog/catalog.hpp>
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <catch2/catch.hpp>
+
+namespace fj = fulmarjunction;
+namespace json = boost::json;
+
+namespace {
+
+const char* const plans_text = R"({
+  "plans": [
+    {"name": "large", "rate": 100, "burst": 200, "weight": 4,
+     "endpoints": ["book", "read"]}],
+  "endpoints": [
+    {"name": "read", "service": "ledgers", "method": "GET",
+     "path": "/ledgers"},
+    {"name": "book", "service": "transfers", "method": "POST",
+     "path": "/ledgers/transfers", "execution": "unique",
+     "importance": "critical", "timeout_ms": 2000},
+    {"name": "root", "service": "site", "method": "POST", "path": "/",
+     "open": true}]})";
+
+fj::catalog make_catalog()
+{
+    fj::catalog made;
+    REQUIRE(made.apply("catalog/plans", json::parse(plans_text), false));
+    REQUIRE(made.apply(
+        "catalog/accounts",
+        json::parse(R"({"accounts":[{"name":"anand","plan":"large"}]})"),
+        false));
+    return made;
+}
+
+// Returns the refusal of the plan list with one fragment replaced.
+std::string refusal_with(std::string_view from, std::string_view to)
+{
+    std::string text = plans_text;
+    text.replace(text.find(from), from.size(), to);
+    const auto parsed = fj::parse_plan_list(json::parse(text));
+    return parsed ? "" : parsed.error().detail;
+}
+
+} // namespace
+
+TEST_CASE(
+    "a refused plan list names the field and what is allowed", "[catalog]")
+{
+    struct fault
+    {
+        std::string from;
+        std::string to;
+        std::string start;
+    };
+    const fault faults[] = {
+        {"\"rate\": 100", "\"rate\": -1", "plans[0].rate: -1 is not allowed"},
+        {"\"rate\": 100", "\"rate\": \"1\"", "plans[0].rate: \"1\""},
+        {"\"rate\": 100, ", "", "plans[0].rate: missing"},
+        {"\"burst\": 200", "\"burst\": 0", "plans[0].burst: 0"},
+        {"\"weight\"", "\"wieght\"", "plans[0].wieght: unknown field"},
+        {"\"read\"]", "\"book\"]", "plans[0].endpoints: "},
+        {"\"GET\"", "\"get\"", "endpoints[0].method: \"get\""},
+        {"\"/ledgers\"", "\"/ledgers/\"", "endpoints[0].path: "},
+        {"\"/ledgers\"", "\"/a/../b\"", "endpoints[0].path: "},
+        {"\"unique\"", "\"once\"", "endpoints[1].execution: \"once\""},
+        {"\"critical\"", "\"top\"", "endpoints[1].importance: \"top\""},
+        {"2000", "0", "endpoints[1].timeout_ms: 0"},
+        {"2000", "2000.5", "endpoints[1].timeout_ms: 2000.5"},
+        {"\"name\": \"book\"", "\"name\": \"read\"",
+         "endpoints[1].name: \"read\" occurs twice"},
+        {"\"path\": \"/\"", "\"path\": \"/ledgers/transfers\"",
+         "endpoints[2].path: POST /ledgers/transfers occurs twice"},
+        {"\"open\": true", "\"open\": true, \"execution\": \"unique\"",
+         "endpoints[2].open: true is not allowed"},
+        {"\"name\": \"large\"", "\"name\": \"a/b\"", "plans[0].name: "},
+    };
+    for (const auto& fault : faults) {
+        INFO(fault.from << " -> " << fault.to);
+        const auto detail = refusal_with(fault.from, fault.to);
+        CHECK(detail.substr(0, fault.start.size()) == fault.start);
+    }
+}
+
+TEST_CASE("lists survive their JSON form", "[catalog]")
+{
+    const auto plans = fj::parse_plan_list(json::parse(plans_text)).value();
+    const auto document = fj::to_json(plans);
+    CHECK(fj::to_json(fj::parse_plan_list(document).value()) == document);
+}
+
+TEST_CASE("check_lists refuses references to nothing", "[catalog]")
+{
+    const auto plans = fj::parse_plan_list(json::parse(plans_text)).value();
+    CHECK(fj::check_lists({{{"anand", "large"}}}, plans));
+    const auto no_plan = fj::check_lists({{{"anand", "small"}}}, plans);
+    REQUIRE_FALSE(no_plan);
+    CHECK(
+        no_plan.error().detail ==
+        "account \"anand\": plan \"small\" does not exist");
+    auto no_endpoint = plans;
+    no_endpoint.plans[0].endpoints.insert("gone");
+    CHECK_FALSE(fj::check_lists({}, no_endpoint));
+}
+
+TEST_CASE(
+    "find_endpoint takes the longest prefix of whole segments", "[catalog]")
+{
+    const auto catalog = make_catalog();
+    const auto name = [&](std::string_view method, std::string_view target) {
+        const auto* found = catalog.find_endpoint(method, target);
+        return found == nullptr ? std::string() : found->name;
+    };
+    CHECK(name("POST", "/ledgers/transfers") == "book");
+    CHECK(name("POST", "/ledgers/transfers/7?x=/a") == "book");
+    CHECK(name("POST", "/ledgers/transfers/") == "book");
+    CHECK(name("POST", "/ledgers/transfersx") == "root");
+    CHECK(name("POST", "/") == "root");
+    CHECK(name("GET", "/ledgers?at=1") == "read");
+    CHECK(name("GET", "/ledger").empty());
+    CHECK(name("PUT", "/ledgers").empty());
+    CHECK(name("GET", "").empty());
+    CHECK(name("GET", "*").empty());
+}
+
+TEST_CASE("no spelling of a path hides a unique endpoint", "[catalog]")
+{
+    const auto catalog = make_catalog();
+    CHECK(
+        catalog.find_endpoint("POST", "/ledgers/tr%61nsfers")->name == "book");
+    for (const char* target :
+         {"/x/../ledgers/transfers", "/x/%2e%2e/ledgers/transfers",
+          "/ledgers//transfers", "//ledgers/transfers", "/ledgers%2ftransfers",
+          "/ledgers\\transfers", "/ledgers;a/transfers", "/ledgers/%",
+          "/ledgers/%zz", "/./ledgers", "/ledgers/..", "/ledgers#x",
+          "http://host/ledgers"}) {
+        INFO(target);
+        CHECK(catalog.find_endpoint("POST", target) == nullptr);
+    }
+}
+
+TEST_CASE(
+    "a row that cannot be parsed leaves the catalog as it was", "[catalog]")
+{
+    auto catalog = make_catalog();
+    CHECK_FALSE(catalog.apply("catalog/plans", json::parse("{}"), false));
+    CHECK(catalog.find_endpoint("read") != nullptr);
+    REQUIRE(catalog.plan_of("anand") != nullptr);
+    CHECK(catalog.plan_of("anand")->rate == 100);
+    CHECK(catalog.apply("audit/00000000000000000001", {}, false));
+
+    // A copy must not look into the lists of the original.
+    const auto copy = catalog;
+    REQUIRE(catalog.apply("catalog/plans", {}, true));
+    CHECK(catalog.plan_of("anand") == nullptr);
+    CHECK(copy.find_endpoint("read")->service == "ledgers");
+}
+
+TEST_CASE("a key is verified by its hash until it is withdrawn", "[catalog]")
+{
+    fj::catalog catalog;
+    auto made = fj::make_key("anand", "pepper");
+    const auto row = "key/" + made.record.id;
+    REQUIRE(catalog.apply(row, fj::to_json(made.record), false));
+    const auto id = fj::key_id_of(made.text);
+    REQUIRE(id);
+    const auto* record = catalog.find_key(*id);
+    REQUIRE(record != nullptr);
+    CHECK(fj::verify_key(made.text, *record, "pepper"));
+    CHECK_FALSE(fj::verify_key(made.text, *record, "other"));
+    auto forged = made.text;
+    forged.back() = forged.back() == '0' ? '1' : '0';
+    CHECK_FALSE(fj::verify_key(forged, *record, "pepper"));
+    CHECK(
+        json::serialize(fj::to_json(made.record)).find(made.text.substr(25)) ==
+        std::string::npos);
+
+    // A record must not be accepted under another key's row.
+    CHECK_FALSE(catalog.apply("key/other", fj::to_json(made.record), false));
+    made.record.withdrawn = true;
+    REQUIRE(catalog.apply(row, fj::to_json(made.record), false));
+    CHECK(catalog.find_key(*id) == nullptr);
+    REQUIRE(catalog.apply(row, {}, true));
+    CHECK(catalog.keys().empty());
+}
+
+TEST_CASE("key_id_of refuses what has not the form of a key", "[catalog]")
+{
+    const auto text = fj::make_key("anand", "pepper").text;
+    CHECK(fj::key_id_of(text));
+    CHECK_FALSE(fj::key_id_of(""));
+    CHECK_FALSE(fj::key_id_of(text + "0"));
+    CHECK_FALSE(fj::key_id_of("fjx" + text.substr(3)));
+    CHECK_FALSE(fj::key_id_of(text.substr(0, text.size() - 1) + "g"));
+}
