--- /dev/null
+++ b/src/settings/settings_reference_main.cpp
@@ -0,0 +1,9 @@
+// Prints docs/settings.md.
+#include <fulmarjunction/settings/settings.hpp>
+
+#include <fmt/format.h>
+
+int main()
+{
+    fmt::print("{}", fulmarjunction::settings_reference());
+}
