--- a/include/fulmarjunction/core/json_fields.hpp
+++ b/include/fulmarjunction/core/json_fields.hpp
@@ -72,6 +72,10 @@
     /// Records the failure of a nested object.
     void refuse(const error& failure);
 
+    /// Accepts fields that are not read: answers of an outside system may
+    /// gain fields.
+    void ignore_unknown() { ignore_unknown_ = true; }
+
     /// Returns the first failure, or one for a field that was not read.
     result<void> finish();
 
@@ -83,6 +87,7 @@
     std::string step_;
     std::set<std::string, std::less<>> known_;
     std::optional<std::string> failure_;
+    bool ignore_unknown_ = false;
 };
 
 } // namespace fulmarjunction
--- a/src/core/json_fields.cpp
+++ b/src/core/json_fields.cpp
@@ -181,7 +181,7 @@
 
 result<void> json_fields::finish()
 {
-    if (fields_ != nullptr) {
+    if (fields_ != nullptr && !ignore_unknown_) {
         for (const auto& field : *fields_) {
             if (known_.find(field.key()) == known_.end())
                 set_failure(
