--- /dev/null
+++ b/include/fulmarjunction/replica/replica.hpp
@@ -0,0 +1,145 @@
+/// @file
+/// An ordered copy of the table's rows.
+#pragma once
+
+#include <fulmarjunction/platform/table_service.hpp>
+#include <fulmarjunction/replica/rows_messages.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fulmarjunction {
+
+/// Bounds of a replica.
+struct replica_settings
+{
+    /// Largest row pushed or sent whole; a larger one goes in fragments.
+    std::size_t fragment_bytes = 96 * 1024;
+    /// Rows are pushed to neighbours up to this size; above it only the
+    /// version is, and neighbours pull.
+    std::size_t push_bytes = 4 * 1024;
+    /// Deleted rows remembered for peers that are behind. Peers that are
+    /// further behind get a snapshot.
+    std::size_t max_tombstones = 4096;
+    /// Largest row that is collected from fragments.
+    std::size_t max_row_bytes = 8 * 1024 * 1024;
+};
+
+/// What a message did to the replica.
+struct replica_update
+{
+    /// The version has advanced; neighbours are to be told (`push`).
+    bool advanced = false;
+    /// To be sent to the same peer: a gap was found or more pieces follow.
+    std::optional<rows_request> pull;
+};
+
+/// Holds the newest rows. Versions only rise, and only whole: rows that
+/// arrive in pieces are staged until the copy is complete at one version.
+class replica
+{
+public:
+    /// Called for each row that is applied, deletions included, in version
+    /// order. Must not call back into the replica's non-const members.
+    using observer = std::function<void(const table_row& row)>;
+
+    explicit replica(replica_settings settings = {});
+
+    /// Adds an observer; rows held already are reported to it at once.
+    void observe(observer watch);
+
+    /// Version up to which the copy is complete.
+    table_version version() const { return version_; }
+
+    /// Returns a row, or null when it is absent or deleted.
+    const table_row* find(std::string_view key) const;
+
+    /// Calls `visit` for each present row whose key starts with `prefix`.
+    void for_each(
+        std::string_view prefix,
+        const std::function<void(const table_row&)>& visit) const;
+
+    /// Applies what the table returned for `list(after)`.
+    /// @param after version that the poll asked from, see `poll_after`
+    replica_update apply_list(const row_list& list, table_version after);
+
+    /// Version to poll the table from; ahead of `version()` while a long
+    /// list is collected in several polls.
+    table_version poll_after() const;
+
+    /// Applies rows from a peer.
+    replica_update apply_delta(const rows_delta& delta);
+
+    /// A peer told its version (in a probe). Returns a pull request if it is
+    /// ahead of this node.
+    std::optional<rows_request> peer_version(table_version version) const;
+
+    /// Returns the request that continues from what is held.
+    rows_request pull_request() const;
+
+    /// Answers a peer's request with one piece.
+    rows_delta answer(const rows_request& request) const;
+
+    /// Returns what to push to a neighbour whose version is `known`: the
+    /// rows when they are few, otherwise no rows and the new version.
+    rows_delta push(table_version known) const;
+
+    /// Present rows.
+    std::size_t size() const { return rows_.size() - tombstones_; }
+    /// Bytes held in keys and values, estimated by their JSON text.
+    std::size_t bytes() const { return bytes_; }
+
+private:
+    using order_key = std::pair<table_version, std::string>;
+
+    struct staging
+    {
+        bool snapshot = false;
+        /// Everything up to here is held, in the rows or staged.
+        table_version end = 0;
+        /// Version at which the staged rows become complete.
+        table_version target = 0;
+        /// Newest version known when a snapshot began.
+        table_version since = 0;
+        std::map<std::string, table_row, std::less<>> rows;
+        std::optional<partial_row> partial;
+        std::string partial_text;
+        std::uint64_t partial_total = 0;
+    };
+
+    struct piece
+    {
+        table_version base = 0;
+        table_version end = 0;
+        table_version head = 0;
+        bool snapshot = false;
+    };
+
+    bool accepts(const piece& part) const;
+    staging& open_staging(const piece& part);
+    bool stage_fragment(const row_fragment& fragment);
+    bool commit_if_complete();
+    void remove_missing(const staging& staged);
+    void apply_row(const table_row& row);
+    void trim_tombstones();
+
+    replica_settings settings_;
+    std::vector<observer> observers_;
+    std::map<std::string, table_row, std::less<>> rows_;
+    std::set<order_key> order_;
+    std::set<order_key> deleted_order_;
+    std::optional<staging> staged_;
+    table_version version_ = 0;
+    /// Deletions after this version are all remembered.
+    table_version deletions_from_ = 0;
+    std::size_t tombstones_ = 0;
+    std::size_t bytes_ = 0;
+};
+
+} // namespace fulmarjunction
