--- a/include/fulmarjunction/replica/poll_schedule.hpp
+++ b/include/fulmarjunction/replica/poll_schedule.hpp
@@ -69,6 +69,7 @@
     void more(time_point now);
 
 private:
+    duration random_part(duration span);
     duration jittered(duration span);
 
     poll_settings settings_;
@@ -77,7 +78,7 @@
     duration reader_wait_;
     time_point reader_due_;
     time_point alone_due_;
-    std::optional<time_point> quiet_since_;
+    bool quiet_ = false;
     time_point start_;
 };
 
--- a/include/fulmarjunction/replica/replica.hpp
+++ b/include/fulmarjunction/replica/replica.hpp
@@ -91,7 +91,7 @@
     rows_delta push(table_version known) const;
 
     /// Present rows.
-    std::size_t size() const { return rows_.size() - tombstones_; }
+    std::size_t size() const { return rows_.size() - deleted_order_.size(); }
     /// Bytes held in keys and values, estimated by their JSON text.
     std::size_t bytes() const { return bytes_; }
 
@@ -110,10 +110,9 @@
         std::map<std::string, table_row, std::less<>> rows;
         std::optional<partial_row> partial;
         std::string partial_text;
-        std::uint64_t partial_total = 0;
     };
 
-    struct piece
+    struct version_range
     {
         table_version base = 0;
         table_version end = 0;
@@ -121,24 +120,38 @@
         bool snapshot = false;
     };
 
-    bool accepts(const piece& part) const;
-    staging& open_staging(const piece& part);
+    struct held_row
+    {
+        table_row row;
+        std::size_t bytes = 0;
+    };
+
+    replica_update apply_piece(
+        const version_range& part, const std::vector<table_row>& rows,
+        const row_fragment* fragment);
+    table_version held_end() const;
+    staging& open_staging(const version_range& part);
+    void raise_staged_end(table_version end);
+    void stage(table_row row);
     bool stage_fragment(const row_fragment& fragment);
-    bool commit_if_complete();
+    void apply_complete(
+        const version_range& part, const std::vector<table_row>& rows);
+    void commit_staged();
     void remove_missing(const staging& staged);
     void apply_row(const table_row& row);
+    void erase_row(const std::string& key);
     void trim_tombstones();
+    void advance(table_version version);
 
     replica_settings settings_;
     std::vector<observer> observers_;
-    std::map<std::string, table_row, std::less<>> rows_;
+    std::map<std::string, held_row, std::less<>> rows_;
     std::set<order_key> order_;
     std::set<order_key> deleted_order_;
     std::optional<staging> staged_;
     table_version version_ = 0;
     /// Deletions after this version are all remembered.
     table_version deletions_from_ = 0;
-    std::size_t tombstones_ = 0;
     std::size_t bytes_ = 0;
 };
 
--- /dev/null
+++ b/src/replica/json_reader.hpp
@@ -0,0 +1,158 @@
+// Strict reading of JSON objects and of arrays with fixed places.
+#pragma once
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/value.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace fulmarjunction::detail {
+
+// Returns a number that is not negative and fits 64 bits.
+inline std::optional<std::uint64_t> to_unsigned(const boost::json::value* value)
+{
+    if (value == nullptr)
+        return std::nullopt;
+    if (const auto* number = value->if_uint64())
+        return *number;
+    const auto* number = value->if_int64();
+    if (number == nullptr || *number < 0)
+        return std::nullopt;
+    return static_cast<std::uint64_t>(*number);
+}
+
+// Takes fields out of a source; remembers whether any was missing or of the
+// wrong type. `Source` returns the value of the next or named field, or null.
+class field_reader
+{
+public:
+    bool is_valid() const { return valid_; }
+    void reject() { valid_ = false; }
+
+protected:
+    std::uint64_t read_unsigned(const boost::json::value* value)
+    {
+        const auto number = to_unsigned(value);
+        valid_ = valid_ && number.has_value();
+        return number.value_or(0);
+    }
+
+    bool read_bool(const boost::json::value* value)
+    {
+        const auto* flag = value == nullptr ? nullptr : value->if_bool();
+        valid_ = valid_ && flag != nullptr;
+        return flag != nullptr && *flag;
+    }
+
+    std::string read_string(const boost::json::value* value, std::size_t limit)
+    {
+        const auto* text = value == nullptr ? nullptr : value->if_string();
+        valid_ = valid_ && text != nullptr && text->size() <= limit;
+        return valid_ ? std::string(*text) : std::string();
+    }
+
+    bool valid_ = true;
+};
+
+// Reads the members of an object; `is_complete` tells whether all were read.
+class object_reader : public field_reader
+{
+public:
+    explicit object_reader(const boost::json::value& value)
+        : object_(value.if_object())
+    {
+        valid_ = object_ != nullptr;
+    }
+
+    const boost::json::value* find(std::string_view name)
+    {
+        const auto* value =
+            object_ == nullptr ? nullptr : object_->if_contains(name);
+        read_ += value == nullptr ? 0 : 1;
+        return value;
+    }
+
+    std::uint64_t number(std::string_view name)
+    {
+        return read_unsigned(find(name));
+    }
+    std::uint64_t number_or(std::string_view name, std::uint64_t absent)
+    {
+        const auto* value = find(name);
+        return value == nullptr ? absent : read_unsigned(value);
+    }
+    bool flag_or(std::string_view name, bool absent)
+    {
+        const auto* value = find(name);
+        return value == nullptr ? absent : read_bool(value);
+    }
+    std::string text(std::string_view name, std::size_t limit)
+    {
+        return read_string(find(name), limit);
+    }
+
+    // Returns an array, or null when the member is absent.
+    const boost::json::array* array_or_null(std::string_view name)
+    {
+        const auto* value = find(name);
+        if (value == nullptr)
+            return nullptr;
+        valid_ = valid_ && value->is_array();
+        return value->if_array();
+    }
+
+    bool is_complete() const
+    {
+        return valid_ && object_ != nullptr && read_ == object_->size();
+    }
+
+private:
+    const boost::json::object* object_;
+    std::size_t read_ = 0;
+};
+
+// Reads the elements of an array in order.
+class array_reader : public field_reader
+{
+public:
+    explicit array_reader(const boost::json::value& value)
+        : array_(value.if_array())
+    {
+        valid_ = array_ != nullptr;
+    }
+
+    std::size_t left() const
+    {
+        return array_ == nullptr ? 0 : array_->size() - position_;
+    }
+
+    const boost::json::value* next()
+    {
+        return left() == 0 ? nullptr : &(*array_)[position_++];
+    }
+
+    std::uint64_t number() { return read_unsigned(next()); }
+    std::string text(std::size_t limit) { return read_string(next(), limit); }
+
+    // Reads a number or null.
+    std::optional<std::uint64_t> number_or_null()
+    {
+        const auto* value = next();
+        if (value != nullptr && value->is_null())
+            return std::nullopt;
+        return read_unsigned(value);
+    }
+
+    bool is_complete() const { return valid_ && left() == 0; }
+
+private:
+    const boost::json::array* array_;
+    std::size_t position_ = 0;
+};
+
+} // namespace fulmarjunction::detail
