--- /dev/null
+++ b/include/fulmarjunction/rates/share_ledger.hpp
@@ -0,0 +1,100 @@
+/// @file
+/// The share ledger of a client account: the table row `shares/<account>`.
+#pragma once
+
+#include <fulmarjunction/core/error.hpp>
+#include <fulmarjunction/core/names.hpp>
+#include <fulmarjunction/core/time.hpp>
+
+#include <boost/json/value.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace fulmarjunction {
+
+/// A rate and a burst in thousandths of a token, so that sums are exact.
+struct share_amount
+{
+    /// Thousandths of a token per second.
+    std::int64_t rate = 0;
+    /// Thousandths of a token.
+    std::int64_t burst = 0;
+
+    bool operator==(const share_amount&) const = default;
+};
+
+/// Returns the smaller rate and the smaller burst of the two.
+share_amount lower_of(const share_amount& a, const share_amount& b);
+share_amount operator+(const share_amount& a, const share_amount& b);
+/// Subtracts; a part that would be negative is 0.
+share_amount operator-(const share_amount& a, const share_amount& b);
+/// Returns whether both parts of `inner` are at most those of `outer`.
+bool fits(const share_amount& inner, const share_amount& outer);
+
+/// The plan of one client account and the row versions it was read at.
+struct account_plan
+{
+    /// Requests per second over the whole fleet.
+    double rate = 0;
+    /// Requests that may be admitted at once over the whole fleet.
+    double burst = 0;
+    /// Versions of `catalog/accounts` and `catalog/plans`. A claim or raise
+    /// is written only while both rows are still at these versions.
+    table_version accounts_version = 0;
+    table_version plans_version = 0;
+
+    bool operator==(const account_plan&) const = default;
+};
+
+/// Returns the plan as an exact amount, rounded down.
+share_amount to_amount(const account_plan& plan);
+
+/// Number of shares of a plan: clamp(burst / 8, 1, 16); 0 for a plan that
+/// admits nothing (a rate of 0 or a burst below one token).
+std::uint32_t share_count(const account_plan& plan);
+
+/// Amount of each share of a plan, rounded down.
+share_amount share_of(const account_plan& plan);
+
+/// One share and its holder.
+struct share_entry
+{
+    std::uint32_t index = 0;
+    instance_name holder;
+    /// Incarnation of the holder.
+    incarnation life = 0;
+    /// How often the holder's lease had lapsed when it wrote the claim. A
+    /// holder whose lease has lapsed may not use an entry of an earlier epoch.
+    std::uint64_t epoch = 0;
+    /// Length of the holder's lease, for those that wait for its lapse.
+    milliseconds lease{0};
+    share_amount amount;
+
+    bool operator==(const share_entry&) const = default;
+};
+
+/// All claimed shares of an account, in order of their index.
+struct share_ledger
+{
+    std::vector<share_entry> shares;
+
+    /// Returns the entry with this index, or null.
+    const share_entry* find(std::uint32_t index) const;
+    share_entry* find(std::uint32_t index);
+    /// Returns the sum over all entries.
+    share_amount sum() const;
+
+    bool operator==(const share_ledger&) const = default;
+};
+
+/// Returns the row key `shares/<account>`.
+std::string share_row_key(const client_account& account);
+
+/// Reads the row's value. Refuses unknown fields, wrong types, negative
+/// amounts, indices that are not increasing and more than 256 entries.
+result<share_ledger> parse_share_ledger(const boost::json::value& document);
+boost::json::value to_json(const share_ledger& ledger);
+
+} // namespace fulmarjunction
