--- /dev/null
+++ b/src/membership/instance_table.cpp
@@ -0,0 +1,555 @@
+#include "membership/instance_table.hpp"
+#include "membership/status_json.hpp"
+
+#include <fulmarjunction/core/log.hpp>
+
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace fulmarjunction::detail {
+
+namespace {
+
+/// How often expiry and the down rule are evaluated for all instances.
+constexpr duration expire_interval = milliseconds(500);
+/// Statuses kept for instances whose record has not arrived.
+constexpr std::size_t max_unknown = 4096;
+/// Monitors whose reports make an instance down.
+constexpr std::size_t needed_reports = 2;
+
+incarnation life_of(const instance_record& record, const instance_status* status)
+{
+    return status == nullptr ? record.life
+                             : std::max(record.life, status->life);
+}
+
+bool is_known_by(const std::vector<peer_id>& known_by, peer_id id)
+{
+    return std::find(known_by.begin(), known_by.end(), id) != known_by.end();
+}
+
+template <class Item>
+std::size_t item_bytes(const Item& item)
+{
+    return boost::json::serialize(to_json(item)).size() + 1;
+}
+
+} // namespace
+
+instance_table::instance_table(instance_name self) : self_(std::move(self))
+{
+}
+
+void instance_table::start_log(std::int64_t base)
+{
+    log_.clear();
+    log_end_ = static_cast<std::uint64_t>(base);
+}
+
+void instance_table::record_change(
+    log_place& place, const instance_name& about,
+    const instance_name& reporter, peer_id from)
+{
+    forget_place(place);
+    place.position = ++log_end_;
+    place.known_by.clear();
+    if (from != 0)
+        place.known_by.push_back(from);
+    log_.emplace(place.position, log_item{about, reporter});
+}
+
+void instance_table::forget_place(const log_place& place)
+{
+    if (place.position != 0)
+        log_.erase(place.position);
+}
+
+void instance_table::set_own(const instance_status& status, time_point now)
+{
+    auto& entry = entries_[self_];
+    entry.status = status;
+    entry.status->record.reset();
+    entry.changed_at = now;
+    if (status.record && status.record->life >= entry.record.life) {
+        const auto renewals = entry.record.renewals;
+        entry.record = *status.record;
+        entry.record.renewals = std::max(renewals, entry.record.renewals);
+    }
+    set_exists(self_, entry);
+    reindex(self_, entry);
+    record_change(entry.status_place, self_, {}, 0);
+}
+
+void instance_table::set_exists(
+    const instance_name& name, instance_entry& entry)
+{
+    entry.exists = true;
+    if (ring_.insert(name)) {
+        neighbours_.reset();
+        ring_changed_ = true;
+    }
+}
+
+void instance_table::apply_row(const table_row& row, time_point now)
+{
+    if (!row.key.starts_with(instance_row_prefix))
+        return;
+    const auto name = row.key.substr(instance_row_prefix.size());
+    if (row.deleted) {
+        const auto place = entries_.find(name);
+        if (place == entries_.end())
+            return;
+        auto& entry = place->second;
+        const bool announced = entry.record.life > entry.row_life;
+        entry.row_version = 0;
+        entry.row_life = 0;
+        if (name != self_ && !announced)
+            erase(place);
+        return;
+    }
+    auto record = parse_instance_record(row.key, row.value);
+    if (!record) {
+        log(log_level::warning, "instance_row_malformed", {{"row", row.key}});
+        return;
+    }
+    auto& entry = entries_[name];
+    entry.row_version = row.version;
+    entry.row_life = record.value().life;
+    if (record.value().life >= entry.record.life && name != self_)
+        entry.record = std::move(record).value();
+    entry.changed_at = now;
+    set_exists(name, entry);
+    reindex(name, entry);
+}
+
+bool instance_table::take_status(
+    const instance_status& status, peer_id from, time_point now)
+{
+    if (status.name == self_ || status.name.empty())
+        return false;
+    const auto known = entries_.find(status.name);
+    if (known == entries_.end() &&
+        entries_.size() >= ring_.size() + max_unknown)
+        return false;
+    auto& entry = known == entries_.end() ? entries_[status.name]
+                                          : known->second;
+    if (status.life < entry.record.life)
+        return false;
+    if (entry.status) {
+        const auto& held = *entry.status;
+        const auto order = std::tie(status.life, status.counter) <=>
+            std::tie(held.life, held.counter);
+        if (order == 0 && from != 0)
+            entry.status_place.known_by.push_back(from);
+        if (order <= 0)
+            return false;
+    }
+    entry.status = status;
+    entry.status->record.reset();
+    entry.changed_at = now;
+    if (status.record && status.record->life > entry.record.life) {
+        entry.record = *status.record;
+        set_exists(status.name, entry);
+    }
+    record_change(entry.status_place, status.name, {}, from);
+    reindex(status.name, entry);
+    return true;
+}
+
+void instance_table::take_report(
+    const failure_report& report, peer_id from, time_point now)
+{
+    const auto found = entries_.find(report.about);
+    if (found == entries_.end() || report.expires_in <= milliseconds(0))
+        return;
+    if (report.life < life_of(report.about))
+        return;
+    auto& state = found->second.reports[report.reporter];
+    if (state.sequence == report.sequence && from != 0)
+        state.place.known_by.push_back(from);
+    if (state.sequence >= report.sequence)
+        return;
+    state.life = report.life;
+    state.sequence = report.sequence;
+    state.failing = report.failing;
+    state.expires = now + report.expires_in;
+    record_change(state.place, report.about, report.reporter, from);
+    reported_.insert(report.about);
+}
+
+incarnation instance_table::life_of(const instance_name& name) const
+{
+    const auto found = entries_.find(name);
+    if (found == entries_.end())
+        return 0;
+    const auto& status = found->second.status;
+    return detail::life_of(
+        found->second.record, status ? &*status : nullptr);
+}
+
+bool instance_table::is_valid(
+    const instance_entry& entry, const report_state& report,
+    time_point now) const
+{
+    const auto life =
+        detail::life_of(entry.record, entry.status ? &*entry.status : nullptr);
+    return report.failing && report.life == life && report.expires > now;
+}
+
+std::size_t
+instance_table::valid_reports(const instance_name& name, time_point now) const
+{
+    const auto found = entries_.find(name);
+    if (found == entries_.end())
+        return 0;
+    const auto& reports = found->second.reports;
+    return static_cast<std::size_t>(std::count_if(
+        reports.begin(), reports.end(), [&](const auto& report) {
+            return is_valid(found->second, report.second, now);
+        }));
+}
+
+bool instance_table::is_discredited(
+    const instance_name& reporter, time_point now) const
+{
+    return reporter != self_ && valid_reports(reporter, now) >= needed_reports;
+}
+
+bool instance_table::decide_down(
+    const instance_name& name, const instance_entry& entry,
+    time_point now) const
+{
+    std::size_t credible = 0;
+    bool by_unreported = false;
+    for (const auto& [reporter, report] : entry.reports) {
+        if (!is_valid(entry, report, now) || is_discredited(reporter, now))
+            continue;
+        ++credible;
+        by_unreported = by_unreported || reporter == self_ ||
+            valid_reports(reporter, now) == 0;
+    }
+    if (credible >= needed_reports)
+        return true;
+    if (credible == 0 || !by_unreported)
+        return false;
+    // One report suffices only where no second monitor is left to make one.
+    const auto monitors = ring_.monitors(name);
+    const auto left = std::count_if(
+        monitors.begin(), monitors.end(), [&](const instance_name& monitor) {
+            return monitor == self_ || valid_reports(monitor, now) == 0;
+        });
+    return left < static_cast<std::ptrdiff_t>(needed_reports);
+}
+
+void instance_table::drop_expired_reports(
+    const instance_name& name, instance_entry& entry, time_point now)
+{
+    std::erase_if(entry.reports, [&](auto& report) {
+        if (report.second.expires > now)
+            return false;
+        forget_place(report.second.place);
+        return true;
+    });
+    if (entry.reports.empty())
+        reported_.erase(name);
+}
+
+void instance_table::expire(
+    time_point now, duration forget_after,
+    const std::set<instance_name>& reached)
+{
+    if (now - expired_at_ < expire_interval)
+        return;
+    expired_at_ = now;
+    const auto names = reported_;
+    current_reports_ = 0;
+    for (const auto& name : names) {
+        auto& entry = entries_.at(name);
+        drop_expired_reports(name, entry, now);
+        current_reports_ += valid_reports(name, now);
+    }
+    for (const auto& name : names) {
+        auto& entry = entries_.at(name);
+        const bool down = name != self_ && !reached.contains(name) &&
+            decide_down(name, entry, now);
+        if (down == entry.down)
+            continue;
+        entry.down = down;
+        entry.changed_at = now;
+        changed_services_.insert(entry.indexed_service);
+    }
+    for (auto place = entries_.begin(); place != entries_.end();) {
+        const auto next = std::next(place);
+        const auto& entry = place->second;
+        const bool unsupported = entry.row_version == 0 &&
+            place->first != self_ && (entry.down || !entry.exists);
+        if (unsupported && now - entry.changed_at > forget_after)
+            erase(place);
+        place = next;
+    }
+}
+
+void instance_table::erase(entry_map::iterator place)
+{
+    const auto name = place->first;
+    auto& entry = place->second;
+    forget_place(entry.status_place);
+    for (const auto& [reporter, report] : entry.reports)
+        forget_place(report.place);
+    reported_.erase(name);
+    if (const auto set = by_service_.find(entry.indexed_service);
+        set != by_service_.end()) {
+        set->second.erase(name);
+        if (set->second.empty())
+            by_service_.erase(set);
+    }
+    changed_services_.insert(entry.indexed_service);
+    if (ring_.erase(name)) {
+        neighbours_.reset();
+        ring_changed_ = true;
+    }
+    entries_.erase(place);
+}
+
+void instance_table::reindex(const instance_name& name, instance_entry& entry)
+{
+    const bool has_status =
+        entry.status && entry.status->life >= entry.record.life;
+    const auto& service =
+        has_status ? entry.status->service : entry.record.service;
+    if (entry.indexed_service != service) {
+        changed_services_.insert(entry.indexed_service);
+        auto& old = by_service_[entry.indexed_service];
+        old.erase(name);
+        if (old.empty())
+            by_service_.erase(entry.indexed_service);
+        entry.indexed_service = service;
+    }
+    if (service.empty())
+        return;
+    by_service_[service].insert(name);
+    changed_services_.insert(service);
+}
+
+const std::vector<instance_name>& instance_table::neighbours() const
+{
+    if (!neighbours_)
+        neighbours_ = ring_.neighbours(self_);
+    return *neighbours_;
+}
+
+bool instance_table::take_ring_change()
+{
+    return std::exchange(ring_changed_, false);
+}
+
+std::set<service_name> instance_table::take_changed_services()
+{
+    auto changed = std::exchange(changed_services_, {});
+    changed.erase(service_name());
+    return changed;
+}
+
+std::string instance_table::address_of(const instance_name& name) const
+{
+    const auto found = entries_.find(name);
+    return found == entries_.end() ? std::string()
+                                   : found->second.record.peer_address;
+}
+
+bool instance_table::is_down(const instance_name& name) const
+{
+    const auto found = entries_.find(name);
+    return found != entries_.end() && found->second.down;
+}
+
+std::optional<instance_view>
+instance_table::find(const instance_name& name) const
+{
+    const auto found = entries_.find(name);
+    if (found == entries_.end() || !found->second.exists)
+        return std::nullopt;
+    const auto& entry = found->second;
+    return instance_view{
+        entry.record, entry.status.value_or(instance_status{}),
+        entry.row_version, entry.down};
+}
+
+std::size_t
+instance_table::monitor_rank(const instance_name& name, time_point now) const
+{
+    std::size_t rank = 0;
+    for (const auto& monitor : ring_.monitors(name)) {
+        if (monitor == self_)
+            break;
+        if (valid_reports(monitor, now) == 0)
+            ++rank;
+    }
+    return rank;
+}
+
+std::size_t instance_table::reports_by_others(
+    const instance_name& name, time_point now) const
+{
+    const auto found = entries_.find(name);
+    if (found == entries_.end())
+        return 0;
+    std::size_t count = 0;
+    for (const auto& [reporter, report] : found->second.reports) {
+        if (reporter != self_ && is_valid(found->second, report, now) &&
+            !is_discredited(reporter, now))
+            ++count;
+    }
+    return count;
+}
+
+bool instance_table::is_implied(const instance_entry& entry) const
+{
+    const auto& status = *entry.status;
+    return entry.row_life == status.life && status.ready && !status.draining &&
+        !status.leaving && status.service == entry.record.service &&
+        status.slots == entry.record.slots;
+}
+
+std::optional<instance_status>
+instance_table::status_to_send(const instance_name& name) const
+{
+    const auto found = entries_.find(name);
+    if (found == entries_.end() || !found->second.status)
+        return std::nullopt;
+    const auto& entry = found->second;
+    auto status = *entry.status;
+    if (entry.row_life != status.life && entry.record.life == status.life)
+        status.record = entry.record;
+    return status;
+}
+
+bool instance_table::add_item(
+    probe_message& message, const log_item& item, const log_cursor& cursor,
+    std::uint64_t position, std::size_t& room, time_point now) const
+{
+    const auto& entry = entries_.at(item.about);
+    if (item.reporter.empty()) {
+        const bool skipped =
+            is_known_by(entry.status_place.known_by, cursor.id) ||
+            (position <= cursor.implied_to && is_implied(entry));
+        if (skipped)
+            return true;
+        auto status = status_to_send(item.about);
+        const auto bytes = item_bytes(*status);
+        if (bytes > room)
+            return false;
+        room -= bytes;
+        message.statuses.push_back(std::move(*status));
+        return true;
+    }
+    const auto& state = entry.reports.at(item.reporter);
+    if (state.expires <= now || is_known_by(state.place.known_by, cursor.id))
+        return true;
+    const failure_report report{
+        item.about,     state.life,
+        item.reporter,  state.sequence,
+        state.failing,  std::chrono::floor<milliseconds>(state.expires - now)};
+    const auto bytes = item_bytes(report);
+    if (bytes > room)
+        return false;
+    room -= bytes;
+    message.reports.push_back(report);
+    return true;
+}
+
+void instance_table::collect(
+    probe_message& message, const log_cursor& cursor, std::size_t limit,
+    time_point now) const
+{
+    auto room = limit;
+    message.upto = cursor.acknowledged;
+    auto place = log_.upper_bound(cursor.acknowledged);
+    for (; place != log_.end(); ++place) {
+        if (!add_item(message, place->second, cursor, place->first, room, now))
+            return;
+        message.upto = place->first;
+    }
+    message.upto = log_end_;
+}
+
+std::vector<service_candidate>
+instance_table::candidates(const service_name& service) const
+{
+    std::vector<service_candidate> list;
+    const auto found = by_service_.find(service);
+    if (found == by_service_.end())
+        return list;
+    for (const auto& name : found->second) {
+        const auto& entry = entries_.at(name);
+        const auto& record = entry.record;
+        if (!entry.exists || entry.down || record.leaving)
+            continue;
+        // An instance whose status has not arrived is taken to be ready once
+        // its row names a service; its node refuses what it cannot run.
+        service_candidate one{
+            name, record.zone, record.slots, life_of(name),
+            record.peer_address};
+        if (entry.status && entry.status->life >= record.life) {
+            const auto& status = *entry.status;
+            if (!status.ready || status.draining || status.leaving)
+                continue;
+            one.slots = status.slots;
+        }
+        list.push_back(std::move(one));
+    }
+    return list;
+}
+
+std::vector<service_name> instance_table::services() const
+{
+    std::vector<service_name> names;
+    for (const auto& [service, instances] : by_service_)
+        names.push_back(service);
+    return names;
+}
+
+std::vector<instance_name>
+instance_table::live(const availability_zone& zone) const
+{
+    std::vector<instance_name> names;
+    for (const auto& [name, entry] : entries_) {
+        const bool leaving = entry.record.leaving ||
+            (entry.status && entry.status->life >= entry.record.life &&
+             entry.status->leaving);
+        const bool in_zone = zone.empty() || entry.record.zone == zone;
+        if (entry.exists && !entry.down && !leaving && in_zone)
+            names.push_back(name);
+    }
+    return names;
+}
+
+std::set<availability_zone> instance_table::zones() const
+{
+    std::set<availability_zone> zones;
+    for (const auto& [name, entry] : entries_) {
+        if (entry.exists && !zones.contains(entry.record.zone))
+            zones.insert(entry.record.zone);
+    }
+    return zones;
+}
+
+std::size_t instance_table::state_bytes() const
+{
+    // Nodes of the standard containers take about this much besides.
+    constexpr std::size_t container_bytes = 64;
+    std::size_t bytes = log_.size() * (sizeof(log_item) + container_bytes);
+    for (const auto& [name, entry] : entries_) {
+        bytes += sizeof(instance_entry) + 4 * container_bytes + 4 * name.size();
+        bytes += entry.record.peer_address.size() +
+            entry.record.operator_address.size() + entry.record.region.size();
+        bytes += entry.reports.size() *
+            (sizeof(report_state) + sizeof(instance_name) + container_bytes);
+    }
+    return bytes;
+}
+
+} // namespace fulmarjunction::detail
--- /dev/null
+++ b/src/membership/instance_table.hpp
@@ -0,0 +1,171 @@
+// The instances that a node knows, the reports about them, and the log of
+// changes that its neighbours have yet to receive.
+#pragma once
+
+#include <fulmarjunction/membership/instance_record.hpp>
+#include <fulmarjunction/membership/membership.hpp>
+#include <fulmarjunction/membership/probe_messages.hpp>
+#include <fulmarjunction/membership/ring.hpp>
+#include <fulmarjunction/platform/table_service.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace fulmarjunction::detail {
+
+// A peer as numbered by `membership`; 0 stands for this node itself.
+using peer_id = std::uint32_t;
+
+// What a neighbour has already received of the log.
+struct log_cursor
+{
+    peer_id id = 0;
+    // Position up to which the neighbour has confirmed.
+    std::uint64_t acknowledged = 0;
+    // Up to this position, statuses that the row implies are left out: they
+    // were in the log before the neighbour became one.
+    std::uint64_t implied_to = 0;
+};
+
+class instance_table
+{
+public:
+    explicit instance_table(instance_name self);
+
+    // Empties the log; later positions are above `base`.
+    void start_log(std::int64_t base);
+    std::uint64_t log_end() const { return log_end_; }
+
+    void set_own(const instance_status& status, time_point now);
+    void apply_row(const table_row& row, time_point now);
+
+    // Returns whether the status was newer than the one known.
+    bool
+    take_status(const instance_status& status, peer_id from, time_point now);
+    void
+    take_report(const failure_report& report, peer_id from, time_point now);
+
+    // Adds what the neighbour lacks, oldest first, up to `limit` bytes.
+    void collect(
+        probe_message& message, const log_cursor& cursor, std::size_t limit,
+        time_point now) const;
+
+    // Returns the status of an instance, with its record where the table
+    // does not have it.
+    std::optional<instance_status>
+    status_to_send(const instance_name& name) const;
+
+    // Drops expired reports and instances that are to be forgotten, and
+    // decides which instances are down.
+    // `reached`: instances that this node's own probes reach.
+    void expire(
+        time_point now, duration forget_after,
+        const std::set<instance_name>& reached);
+
+    const std::vector<instance_name>& neighbours() const;
+    bool take_ring_change();
+    std::set<service_name> take_changed_services();
+
+    incarnation life_of(const instance_name& name) const;
+    std::string address_of(const instance_name& name) const;
+    bool is_down(const instance_name& name) const;
+    std::optional<instance_view> find(const instance_name& name) const;
+
+    // Rank of this node among the monitors of an instance that are not
+    // reported as failing themselves.
+    std::size_t monitor_rank(const instance_name& name, time_point now) const;
+    // Current reports about an instance by other monitors.
+    std::size_t
+    reports_by_others(const instance_name& name, time_point now) const;
+    std::size_t current_reports() const { return current_reports_; }
+
+    std::vector<service_candidate>
+    candidates(const service_name& service) const;
+    std::vector<service_name> services() const;
+    // Live instances of a zone, or all when it is empty.
+    std::vector<instance_name> live(const availability_zone& zone) const;
+    std::set<availability_zone> zones() const;
+    std::size_t size() const { return ring_.size(); }
+    std::size_t state_bytes() const;
+
+private:
+    // Where an item stands in the log, and who has it already.
+    struct log_place
+    {
+        std::uint64_t position = 0;
+        std::vector<peer_id> known_by;
+    };
+    struct report_state
+    {
+        incarnation life = 0;
+        std::uint64_t sequence = 0;
+        bool failing = false;
+        time_point expires;
+        log_place place;
+    };
+    struct instance_entry
+    {
+        instance_record record;
+        // Version and incarnation of the row; 0 without one.
+        table_version row_version = 0;
+        incarnation row_life = 0;
+        // Whether the record came from a row or an announcement.
+        bool exists = false;
+        std::optional<instance_status> status;
+        log_place status_place;
+        std::map<instance_name, report_state> reports;
+        bool down = false;
+        time_point changed_at;
+        service_name indexed_service;
+    };
+    struct log_item
+    {
+        instance_name about;
+        // Empty for a status.
+        instance_name reporter;
+    };
+    using entry_map = std::map<instance_name, instance_entry>;
+
+    void record_change(
+        log_place& place, const instance_name& about,
+        const instance_name& reporter, peer_id from);
+    void forget_place(const log_place& place);
+    void set_exists(const instance_name& name, instance_entry& entry);
+    void erase(entry_map::iterator place);
+    void reindex(const instance_name& name, instance_entry& entry);
+    std::size_t
+    valid_reports(const instance_name& name, time_point now) const;
+    bool is_valid(
+        const instance_entry& entry, const report_state& report,
+        time_point now) const;
+    bool is_discredited(const instance_name& reporter, time_point now) const;
+    bool decide_down(
+        const instance_name& name, const instance_entry& entry,
+        time_point now) const;
+    void drop_expired_reports(
+        const instance_name& name, instance_entry& entry, time_point now);
+    bool is_implied(const instance_entry& entry) const;
+    bool add_item(
+        probe_message& message, const log_item& item, const log_cursor& cursor,
+        std::uint64_t position, std::size_t& room, time_point now) const;
+
+    instance_name self_;
+    entry_map entries_;
+    instance_ring ring_;
+    mutable std::optional<std::vector<instance_name>> neighbours_;
+    bool ring_changed_ = true;
+    std::map<std::uint64_t, log_item> log_;
+    std::uint64_t log_end_ = 0;
+    std::set<instance_name> reported_;
+    std::size_t current_reports_ = 0;
+    std::map<service_name, std::set<instance_name>> by_service_;
+    std::set<service_name> changed_services_;
+    time_point expired_at_;
+};
+
+} // namespace fulmarjunction::detail
--- /dev/null
+++ b/src/membership/membership.cpp
@@ -0,0 +1,813 @@
+#include "membership/instance_table.hpp"
+#include "membership/status_json.hpp"
+
+#include <fulmarjunction/core/log.hpp>
+#include <fulmarjunction/core/placement.hpp>
+#include <fulmarjunction/membership/membership.hpp>
+
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace fulmarjunction {
+
+namespace {
+
+/// Statuses put in one `leave` message.
+constexpr std::size_t max_leave_statuses = 64;
+/// A peer that is no neighbour and was silent for this long is forgotten. It
+/// is longer than a split of regions lasts, so that each side then receives
+/// what it missed.
+constexpr duration peer_memory = std::chrono::hours(1);
+
+/// What this node and one peer know of each other.
+struct peer_state
+{
+    std::uint32_t id = 0;
+    incarnation life = 0;
+    /// Position in our log that the peer has confirmed.
+    std::uint64_t acknowledged = 0;
+    /// End of our log when the peer became one.
+    std::uint64_t implied_to = 0;
+    /// Position in the peer's log that we have received.
+    std::uint64_t received = 0;
+    std::optional<std::int64_t> stamp;
+    time_point stamp_at;
+    time_point heard_at;
+};
+
+/// One probe neighbour as this node monitors it.
+struct target_state
+{
+    time_point next_probe;
+    std::optional<time_point> sent_at;
+    std::size_t misses = 0;
+    std::optional<time_point> answered_at;
+    incarnation answered_life = 0;
+    std::optional<time_point> failing_since;
+    std::uint64_t sequence = 0;
+    /// When the report is to be repeated; empty while there is none.
+    std::optional<time_point> repeat_at;
+    incarnation reported_life = 0;
+};
+
+struct section
+{
+    membership::section_source source;
+    membership::section_sink sink;
+};
+
+/// The status stops new work to its instance, so it spreads at once.
+bool stops_work(const instance_status& status)
+{
+    return status.leaving || status.draining || !status.ready;
+}
+
+} // namespace
+
+class membership::impl
+{
+public:
+    impl(membership_settings settings, instance_record self, time_point start)
+        : settings_(settings), self_(std::move(self)), start_(start),
+          table_(self_.name)
+    {
+        restart_log();
+        own_.name = self_.name;
+        own_.life = self_.life;
+        own_.record = self_;
+        table_.set_own(own_, start);
+    }
+
+    void raise_incarnation(incarnation life)
+    {
+        if (life <= self_.life)
+            return;
+        self_.life = life;
+        own_.life = life;
+        restart_log();
+        publish_own(start_);
+    }
+
+    void apply_row(const table_row& row, time_point now)
+    {
+        table_.apply_row(row, now);
+        notify();
+    }
+
+    void backend_announced(const backend_announcement& news, time_point now)
+    {
+        announced_at_ = now;
+        auto status = own_;
+        status.service = news.service;
+        status.slots = news.slots;
+        status.ready = true;
+        status.draining = news.draining;
+        set_own(std::move(status), now);
+    }
+
+    void backend_lost(time_point now)
+    {
+        announced_at_.reset();
+        auto status = own_;
+        status.ready = false;
+        set_own(std::move(status), now);
+    }
+
+    bool is_backend_ready(time_point now) const
+    {
+        return announced_at_ &&
+            now - *announced_at_ < settings_.announce_timeout && own_.ready &&
+            !own_.draining;
+    }
+
+    void leave(time_point now)
+    {
+        auto status = own_;
+        status.leaving = true;
+        set_own(std::move(status), now);
+    }
+
+    membership_orders
+    tick(time_point now, table_version version, const evidence_list& evidence)
+    {
+        notice_pause(now);
+        if (announced_at_ && now - *announced_at_ >= settings_.announce_timeout)
+            backend_lost(now);
+        update_targets(now);
+        for (auto& [name, target] : targets_)
+            update_report(name, target, now);
+        table_.expire(now, settings_.forget_after, direct_successes(now));
+        forget_peers(now);
+        membership_orders orders;
+        add_probes(orders, now, version, evidence);
+        add_relays(orders, now);
+        notify();
+        return orders;
+    }
+
+    probe_reply probe_received(
+        const probe_message& message, time_point now, table_version version,
+        const evidence_list& evidence)
+    {
+        probe_reply reply;
+        reply.learned.version = message.version;
+        reply.learned.counted_from = now;
+        if (take_message(message, now)) {
+            if (const auto stated = stated_at(message, now)) {
+                reply.learned.counted_from = *stated;
+                reply.learned.evidence = message.evidence;
+            }
+        }
+        reply.message = make_message(message.from, now, version, evidence);
+        notify();
+        return reply;
+    }
+
+    probe_result probe_answered(
+        const instance_name& to, const probe_message& answer, time_point sent,
+        time_point now)
+    {
+        probe_result learned{answer.version, {}, sent};
+        if (take_message(answer, now))
+            learned.evidence = answer.evidence;
+        const auto found = targets_.find(to);
+        if (found != targets_.end() && answer.from == to)
+            probe_succeeded(to, found->second, answer.life, now);
+        notify();
+        return learned;
+    }
+
+    void probe_failed(const instance_name& to, time_point now)
+    {
+        const auto found = targets_.find(to);
+        if (found == targets_.end())
+            return;
+        count_miss(found->second, now);
+        update_report(to, found->second, now);
+        notify();
+    }
+
+    void leave_received(const leave_message& message, time_point now)
+    {
+        for (const auto& status : message.statuses) {
+            const auto peer = peers_.find(message.from);
+            const auto id = peer == peers_.end() ? 0 : peer->second.id;
+            if (table_.take_status(status, id, now))
+                relay(status.name, message.from);
+        }
+        notify();
+    }
+
+    void attach_section(
+        std::string name, section_source source, section_sink sink)
+    {
+        sections_[std::move(name)] = {std::move(source), std::move(sink)};
+    }
+
+    void observe_services(service_observer watch)
+    {
+        observers_.push_back(std::move(watch));
+    }
+
+    void add_seed(std::string address)
+    {
+        seeds_.push_back({std::move(address), start_});
+    }
+
+    detail::instance_table& table() { return table_; }
+    const detail::instance_table& table() const { return table_; }
+    const instance_record& self() const { return self_; }
+    const instance_status& own_status() const { return own_; }
+    const std::vector<instance_name>& neighbours() const
+    {
+        return table_.neighbours();
+    }
+
+    std::size_t state_bytes() const
+    {
+        constexpr std::size_t peer_bytes = sizeof(peer_state) + 96;
+        constexpr std::size_t target_bytes = sizeof(target_state) + 96;
+        return table_.state_bytes() + peers_.size() * peer_bytes +
+            targets_.size() * target_bytes;
+    }
+
+private:
+    struct seed
+    {
+        std::string address;
+        time_point next_probe;
+    };
+    struct pending_relay
+    {
+        instance_name about;
+        instance_name learned_from;
+    };
+
+    /// Positions of a restarted node's log are above those of its earlier
+    /// life, so that a confirmation of an earlier position confirms nothing.
+    void restart_log() { table_.start_log(epoch_milliseconds()); }
+
+    std::int64_t epoch_milliseconds() const
+    {
+        constexpr incarnation microseconds_per_millisecond = 1000;
+        return static_cast<std::int64_t>(
+            self_.life / microseconds_per_millisecond);
+    }
+
+    /// Stamps rise from one life of a node to the next, so that an echo of
+    /// an earlier life's stamp is recognized.
+    std::int64_t stamp_of(time_point now) const
+    {
+        return epoch_milliseconds() + to_milliseconds(now - start_);
+    }
+
+    void publish_own(time_point now)
+    {
+        own_.record = self_;
+        table_.set_own(own_, now);
+    }
+
+    void set_own(instance_status status, time_point now)
+    {
+        status.counter = own_.counter;
+        if (status == own_)
+            return;
+        const bool stopped = stops_work(status);
+        own_ = std::move(status);
+        ++own_.counter;
+        self_.service = own_.service;
+        self_.slots = own_.slots;
+        self_.leaving = own_.leaving;
+        publish_own(now);
+        if (stopped)
+            relay(self_.name, {});
+        notify();
+    }
+
+    void notify()
+    {
+        for (const auto& service : table_.take_changed_services()) {
+            for (const auto& watch : observers_)
+                watch(service);
+        }
+    }
+
+    /// Probes that failed while this process was paused say nothing about
+    /// the other side.
+    void notice_pause(time_point now)
+    {
+        const bool paused =
+            last_tick_ && now - *last_tick_ > 2 * settings_.probe_interval;
+        last_tick_ = now;
+        if (!paused)
+            return;
+        log(log_level::warning, "membership_paused");
+        for (auto& [name, target] : targets_) {
+            target.misses = 0;
+            target.sent_at.reset();
+            target.next_probe = now;
+        }
+    }
+
+    void update_targets(time_point now)
+    {
+        if (!table_.take_ring_change())
+            return;
+        const auto names = table_.neighbours();
+        std::erase_if(targets_, [&](const auto& entry) {
+            return std::find(names.begin(), names.end(), entry.first) ==
+                names.end();
+        });
+        for (const auto& name : names) {
+            if (targets_.contains(name))
+                continue;
+            // Spread over the interval, so that messages come evenly.
+            constexpr std::uint64_t steps = 1024;
+            const auto phase = placement_hash(self_.name + '>' + name) % steps;
+            targets_[name].next_probe = now +
+                settings_.probe_interval * static_cast<int>(phase) /
+                    static_cast<int>(steps);
+        }
+    }
+
+    void add_probes(
+        membership_orders& orders, time_point now, table_version version,
+        const evidence_list& evidence)
+    {
+        for (auto& [name, target] : targets_) {
+            if (now < target.next_probe)
+                continue;
+            // The driver ends a probe after an interval; a probe without an
+            // end counts as missed.
+            if (target.sent_at)
+                count_miss(target, now);
+            target.sent_at = now;
+            advance_probe(target.next_probe, now);
+            orders.probes.push_back(
+                {name, table_.address_of(name),
+                 make_message(name, now, version, evidence)});
+        }
+        // Seeds only serve to find the first instance that answers.
+        if (has_contact(now))
+            return;
+        for (auto& one : seeds_) {
+            if (now < one.next_probe)
+                continue;
+            advance_probe(one.next_probe, now);
+            orders.probes.push_back(
+                {{}, one.address, make_message({}, now, version, evidence)});
+        }
+    }
+
+    void advance_probe(time_point& next, time_point now) const
+    {
+        next += settings_.probe_interval;
+        if (next <= now)
+            next = now + settings_.probe_interval;
+    }
+
+    bool has_contact(time_point now) const
+    {
+        const auto recent = settings_.misses * settings_.probe_interval;
+        return std::any_of(
+            targets_.begin(), targets_.end(), [&](const auto& entry) {
+                const auto& answered = entry.second.answered_at;
+                return answered && now - *answered < recent;
+            });
+    }
+
+    void relay(const instance_name& about, const instance_name& learned_from)
+    {
+        const auto same = [&](const pending_relay& entry) {
+            return entry.about == about;
+        };
+        if (std::none_of(relays_.begin(), relays_.end(), same))
+            relays_.push_back({about, learned_from});
+    }
+
+    void add_relays(membership_orders& orders, time_point now)
+    {
+        if (now - relay_window_ >= seconds(1)) {
+            relay_window_ = now;
+            relayed_ = 0;
+        }
+        const auto allowed = settings_.relays_per_second - relayed_;
+        relays_.resize(std::min(relays_.size(), allowed));
+        relayed_ += relays_.size();
+        if (relays_.empty())
+            return;
+        for (const auto& name : table_.neighbours()) {
+            leave_order order{name, table_.address_of(name), {self_.name, {}}};
+            for (const auto& entry : relays_) {
+                if (entry.learned_from == name || entry.about == name)
+                    continue;
+                if (order.message.statuses.size() == max_leave_statuses)
+                    break;
+                if (auto status = table_.status_to_send(entry.about))
+                    order.message.statuses.push_back(std::move(*status));
+            }
+            if (!order.message.statuses.empty())
+                orders.leaves.push_back(std::move(order));
+        }
+        relays_.clear();
+    }
+
+    peer_state& peer(const instance_name& name, time_point now)
+    {
+        auto& state = peers_[name];
+        if (state.id == 0) {
+            state.id = ++last_peer_id_;
+            state.implied_to = table_.log_end();
+            state.heard_at = now;
+        }
+        return state;
+    }
+
+    void forget_peers(time_point now)
+    {
+        if (now - peers_checked_ < seconds(1))
+            return;
+        peers_checked_ = now;
+        std::erase_if(peers_, [&](const auto& entry) {
+            return now - entry.second.heard_at > peer_memory &&
+                !targets_.contains(entry.first);
+        });
+    }
+
+    probe_message make_message(
+        const instance_name& to, time_point now, table_version version,
+        const evidence_list& evidence)
+    {
+        probe_message message;
+        message.from = self_.name;
+        message.life = self_.life;
+        message.version = version;
+        message.stamp = stamp_of(now);
+        message.evidence = evidence;
+        for (const auto& [name, part] : sections_)
+            add_section(message, name, part, to);
+        if (to.empty()) {
+            // A seed's name is not known yet: it only learns who we are.
+            message.upto = 0;
+            if (auto status = table_.status_to_send(self_.name))
+                message.statuses.push_back(std::move(*status));
+            return message;
+        }
+        const auto& state = peer(to, now);
+        message.acknowledged = state.received;
+        if (state.stamp) {
+            message.echo = state.stamp;
+            message.held = std::chrono::floor<milliseconds>(
+                std::max(now - state.stamp_at, duration::zero()));
+        }
+        table_.collect(
+            message, {state.id, state.acknowledged, state.implied_to},
+            settings_.probe_items_bytes, now);
+        return message;
+    }
+
+    void add_section(
+        probe_message& message, const std::string& name, const section& part,
+        const instance_name& to) const
+    {
+        if (!part.source)
+            return;
+        auto value = part.source(to);
+        if (!value)
+            return;
+        if (boost::json::serialize(*value).size() > settings_.section_bytes) {
+            log(log_level::warning, "section_too_large", {{"section", name}});
+            return;
+        }
+        message.sections[name] = std::move(*value);
+    }
+
+    /// Takes what a message says besides evidence.
+    /// @return false for a message of an earlier life of its sender
+    bool take_message(const probe_message& message, time_point now)
+    {
+        if (message.from == self_.name)
+            return false;
+        auto& state = peer(message.from, now);
+        if (message.life < state.life)
+            return false;
+        if (message.life > state.life) {
+            const auto id = state.id;
+            state = {};
+            state.id = id;
+            state.implied_to = table_.log_end();
+            state.life = message.life;
+        }
+        state.heard_at = now;
+        if (message.acknowledged <= table_.log_end())
+            state.acknowledged =
+                std::max(state.acknowledged, message.acknowledged);
+        if (!state.stamp || *state.stamp <= message.stamp) {
+            state.stamp = message.stamp;
+            state.stamp_at = now;
+        }
+        for (const auto& status : message.statuses) {
+            if (status.name != self_.name)
+                table_.take_status(status, state.id, now);
+        }
+        for (const auto& report : message.reports)
+            table_.take_report(report, state.id, now);
+        state.received = std::max(state.received, message.upto);
+        take_sections(message);
+        return true;
+    }
+
+    void take_sections(const probe_message& message) const
+    {
+        for (const auto& [name, part] : sections_) {
+            const auto* value = message.sections.if_contains(name);
+            if (value != nullptr && part.sink)
+                part.sink(message.from, *value);
+        }
+    }
+
+    /// Returns a time at or before which the sender stated its ages: it had
+    /// our echoed message for `held` when it sent this one.
+    std::optional<time_point>
+    stated_at(const probe_message& message, time_point now) const
+    {
+        if (!message.echo || *message.echo < epoch_milliseconds())
+            return std::nullopt;
+        const auto elapsed =
+            milliseconds(*message.echo - epoch_milliseconds()) + message.held;
+        const auto stated = start_ + elapsed;
+        if (stated > now)
+            return std::nullopt;
+        return stated;
+    }
+
+    void probe_succeeded(
+        const instance_name& name, target_state& target, incarnation life,
+        time_point now)
+    {
+        target.sent_at.reset();
+        target.misses = 0;
+        target.failing_since.reset();
+        target.answered_at = now;
+        target.answered_life = life;
+        if (!target.repeat_at)
+            return;
+        target.repeat_at.reset();
+        state_report(name, target, false, now);
+    }
+
+    void count_miss(target_state& target, time_point now) const
+    {
+        target.sent_at.reset();
+        ++target.misses;
+        if (target.misses >= settings_.misses && !target.failing_since)
+            target.failing_since = now;
+    }
+
+    /// Makes or repeats the report about a neighbour where it is due.
+    void update_report(
+        const instance_name& name, target_state& target, time_point now)
+    {
+        if (!target.failing_since)
+            return;
+        const auto life = table_.life_of(name);
+        if (target.repeat_at && target.reported_life != life)
+            target.repeat_at.reset();
+        if (target.repeat_at && now < *target.repeat_at)
+            return;
+        const auto rank = table_.monitor_rank(name, now);
+        const bool is_first = rank < 2;
+        if (!is_first) {
+            const auto wait = static_cast<int>(rank - 1);
+            if (now < *target.failing_since + wait * settings_.report_stagger)
+                return;
+            if (table_.reports_by_others(name, now) >= 2) {
+                if (target.repeat_at)
+                    target.repeat_at = now + settings_.report_repeat;
+                return;
+            }
+        }
+        state_report(name, target, true, now);
+        target.repeat_at = now + stretched(settings_.report_repeat);
+        target.reported_life = life;
+    }
+
+    duration stretched(duration span) const
+    {
+        const auto current =
+            std::max(table_.current_reports(), settings_.reports_unstretched);
+        return span * static_cast<std::int64_t>(current) /
+            static_cast<std::int64_t>(settings_.reports_unstretched);
+    }
+
+    void state_report(
+        const instance_name& name, target_state& target, bool failing,
+        time_point now)
+    {
+        failure_report report;
+        report.about = name;
+        report.life = failing ? table_.life_of(name) : target.reported_life;
+        report.reporter = self_.name;
+        // Statements of a restarted reporter are above its earlier ones: at
+        // most one is made in a second.
+        constexpr incarnation microseconds_per_second = 1'000'000;
+        target.sequence = std::max<std::uint64_t>(
+            target.sequence + 1,
+            self_.life / microseconds_per_second +
+                static_cast<std::uint64_t>(
+                    std::chrono::floor<seconds>(now - start_).count()));
+        report.sequence = target.sequence;
+        report.failing = failing;
+        report.expires_in = std::chrono::ceil<milliseconds>(
+            stretched(settings_.report_expiry));
+        table_.take_report(report, 0, now);
+    }
+
+    std::set<instance_name> direct_successes(time_point now) const
+    {
+        const auto recent = (static_cast<int>(settings_.misses) + 1) *
+            settings_.probe_interval;
+        std::set<instance_name> names;
+        for (const auto& [name, target] : targets_) {
+            if (!target.failing_since && target.answered_at &&
+                now - *target.answered_at < recent &&
+                target.answered_life >= table_.life_of(name))
+                names.insert(name);
+        }
+        return names;
+    }
+
+    membership_settings settings_;
+    instance_record self_;
+    instance_status own_;
+    time_point start_;
+    detail::instance_table table_;
+    std::map<instance_name, peer_state> peers_;
+    std::map<instance_name, target_state> targets_;
+    std::map<std::string, section> sections_;
+    std::vector<service_observer> observers_;
+    std::vector<seed> seeds_;
+    std::vector<pending_relay> relays_;
+    std::optional<time_point> announced_at_;
+    std::optional<time_point> last_tick_;
+    time_point relay_window_;
+    time_point peers_checked_;
+    std::size_t relayed_ = 0;
+    std::uint32_t last_peer_id_ = 0;
+};
+
+membership::membership(
+    membership_settings settings, instance_record self, time_point start)
+    : impl_(std::make_unique<impl>(settings, std::move(self), start))
+{
+}
+
+membership::~membership() = default;
+
+void membership::attach_section(
+    std::string name, section_source source, section_sink sink)
+{
+    impl_->attach_section(std::move(name), std::move(source), std::move(sink));
+}
+
+void membership::observe_services(service_observer watch)
+{
+    impl_->observe_services(std::move(watch));
+}
+
+void membership::add_seed(std::string address)
+{
+    impl_->add_seed(std::move(address));
+}
+
+void membership::raise_incarnation(incarnation life)
+{
+    impl_->raise_incarnation(life);
+}
+
+void membership::apply_row(const table_row& row, time_point now)
+{
+    impl_->apply_row(row, now);
+}
+
+void membership::backend_announced(
+    const backend_announcement& news, time_point now)
+{
+    impl_->backend_announced(news, now);
+}
+
+void membership::backend_lost(time_point now)
+{
+    impl_->backend_lost(now);
+}
+
+bool membership::is_backend_ready(time_point now) const
+{
+    return impl_->is_backend_ready(now);
+}
+
+void membership::leave(time_point now)
+{
+    impl_->leave(now);
+}
+
+membership_orders membership::tick(
+    time_point now, table_version version, const evidence_list& evidence)
+{
+    return impl_->tick(now, version, evidence);
+}
+
+probe_reply membership::probe_received(
+    const probe_message& message, time_point now, table_version version,
+    const evidence_list& evidence)
+{
+    return impl_->probe_received(message, now, version, evidence);
+}
+
+probe_result membership::probe_answered(
+    const instance_name& to, const probe_message& answer, time_point sent,
+    time_point now)
+{
+    return impl_->probe_answered(to, answer, sent, now);
+}
+
+void membership::probe_failed(const instance_name& to, time_point now)
+{
+    impl_->probe_failed(to, now);
+}
+
+void membership::leave_received(const leave_message& message, time_point now)
+{
+    impl_->leave_received(message, now);
+}
+
+std::vector<service_candidate>
+membership::candidates(const service_name& service) const
+{
+    return impl_->table().candidates(service);
+}
+
+std::vector<service_name> membership::services() const
+{
+    return impl_->table().services();
+}
+
+std::vector<instance_name> membership::live() const
+{
+    return impl_->table().live({});
+}
+
+std::vector<instance_name>
+membership::live_in(const availability_zone& zone) const
+{
+    return impl_->table().live(zone);
+}
+
+std::set<availability_zone> membership::zones() const
+{
+    return impl_->table().zones();
+}
+
+bool membership::is_down(const instance_name& name) const
+{
+    return impl_->table().is_down(name);
+}
+
+std::optional<instance_view> membership::find(const instance_name& name) const
+{
+    return impl_->table().find(name);
+}
+
+std::string membership::address_of(const instance_name& name) const
+{
+    return impl_->table().address_of(name);
+}
+
+std::vector<instance_name> membership::neighbours() const
+{
+    return impl_->neighbours();
+}
+
+const instance_record& membership::self() const
+{
+    return impl_->self();
+}
+
+const instance_status& membership::own_status() const
+{
+    return impl_->own_status();
+}
+
+std::size_t membership::size() const
+{
+    return impl_->table().size();
+}
+
+std::size_t membership::state_bytes() const
+{
+    return impl_->state_bytes();
+}
+
+} // namespace fulmarjunction
