--- a/include/fulmarjunction/serving/backend_gate.hpp
+++ b/include/fulmarjunction/serving/backend_gate.hpp
@@ -25,8 +25,8 @@
 
 namespace fulmarjunction {
 
-/// What a backend server says of itself.
-struct backend_announcement
+/// What a backend server reports about itself.
+struct backend_report
 {
     service_name service;
     boost::asio::ip::tcp::endpoint address;
@@ -74,10 +74,10 @@
     backend_gate& operator=(const backend_gate&) = delete;
 
     /// Takes note of what the backend server says of itself.
-    void announced(const backend_announcement& announcement);
+    void announced(const backend_report& announcement);
 
     /// Returns the last announcement while it is younger than three seconds.
-    const backend_announcement* backend() const;
+    const backend_report* backend() const;
 
     /// Runs one call. The answer carries notes (see `take_notes`).
     /// @param canceled ends the call, also while it waits or runs
@@ -89,7 +89,6 @@
     std::size_t waiting() const { return admission_.waiting(); }
     std::size_t in_flight() const { return admission_.in_flight(); }
     std::size_t limit() const { return admission_.limit(); }
-    admission_level level() const;
 
     /// Called when the backend server becomes ready or stops being so.
     std::function<void()> on_change;
@@ -109,7 +108,8 @@
     pass_on(std::shared_ptr<run_guard> guard, streamed_request request);
     streamed_response failed_answer(run_guard& guard, const error& problem);
     awaitable<void> wait_for_turn(cancel_event canceled, bool alone);
-    answer_notes notes_of(const run_guard& guard) const;
+    answer_notes notes_of(const running_request& request) const;
+    admission_level level_for(const request_context& context) const;
     void check_for_crash();
 
     boost::asio::any_io_executor executor_;
@@ -117,7 +117,7 @@
     isolation_hooks isolation_;
     in_flight_table running_;
     std::unique_ptr<http_client> client_;
-    backend_announcement announcement_;
+    backend_report announcement_;
     time_point announced_at_{};
     bool was_ready_ = false;
     std::uint64_t next_id_ = 1;
--- a/include/fulmarjunction/serving/context_codec.hpp
+++ b/include/fulmarjunction/serving/context_codec.hpp
@@ -23,6 +23,9 @@
     std::optional<double> level;
     /// Load in [0, 1] as the instance reports it.
     std::optional<double> load;
+    /// A call that was made for the request was refused as overloaded, so
+    /// the work done above it was wasted.
+    bool refused_below = false;
 };
 
 /// Adds the context's fields; the deadline travels as remaining time, so
--- a/include/fulmarjunction/serving/dispatcher.hpp
+++ b/include/fulmarjunction/serving/dispatcher.hpp
@@ -14,7 +14,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <variant>
+#include <utility>
 
 namespace fulmarjunction {
 
@@ -30,7 +30,24 @@
 };
 
 /// An answer of a backend server, or why there is none.
-using call_answer = std::variant<streamed_response, refusal>;
+struct call_answer
+{
+    call_answer(refusal reason) : why(reason) {}
+    call_answer(streamed_response answer) : response(std::move(answer)) {}
+
+    /// Empty when the request was refused or failed.
+    std::optional<streamed_response> response;
+    /// Why there is no answer, when `response` is empty.
+    refusal why;
+    /// A call deeper in the chain was refused as overloaded.
+    bool refused_below = false;
+
+    /// Returns why there is no answer, or nothing when there is one.
+    std::optional<refusal> failure() const
+    {
+        return response ? std::nullopt : std::optional(why);
+    }
+};
 
 /// Where the node of an instance listens for peers.
 struct peer_address
--- a/include/fulmarjunction/serving/egress.hpp
+++ b/include/fulmarjunction/serving/egress.hpp
@@ -44,6 +44,6 @@
 };
 
 /// Reads an announcement, refusing fields that are missing or out of range.
-result<backend_announcement> parse_announcement(std::string_view text);
+result<backend_report> parse_announcement(std::string_view text);
 
 } // namespace fulmarjunction
--- a/include/fulmarjunction/serving/entry.hpp
+++ b/include/fulmarjunction/serving/entry.hpp
@@ -2,6 +2,7 @@
 /// The path of a request from a caller into the fleet.
 #pragma once
 
+#include <fulmarjunction/admission/endpoint_levels.hpp>
 #include <fulmarjunction/catalog/catalog.hpp>
 #include <fulmarjunction/http/http.hpp>
 #include <fulmarjunction/serving/dispatcher.hpp>
@@ -11,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace fulmarjunction {
@@ -30,14 +32,9 @@
         client_account account, time_point deadline)>
         charge;
     /// Returns why a root cannot finish now, if so.
-    std::function<std::optional<refusal>(
-        const endpoint_definition& endpoint, request_priority priority)>
-        refuse_early;
-    /// Tells how a root on an endpoint ended.
-    std::function<void(
-        const endpoint_definition& endpoint, request_priority priority,
-        const std::optional<refusal>& why)>
-        ended;
+    std::function<std::optional<refusal>(const entry_root& root)> refuse_early;
+    /// Tells how a root ended.
+    std::function<void(const entry_root& root, bool refused_below)> ended;
     /// Runs a unique request at the issuer of its idempotency key.
     std::function<awaitable<call_answer>(
         outgoing_call call, retry_budget& budget, cancel_event canceled)>
@@ -87,6 +84,10 @@
     /// Answers one request of a caller.
     awaitable<streamed_response> handle(http_request request);
 
+    /// Answers bytes that are not an acceptable request.
+    /// @param status 400, 413 or 431
+    streamed_response refuse_malformed(int status);
+
     const serving_counters& counters() const { return counters_; }
 
 private:
--- a/include/fulmarjunction/serving/in_flight.hpp
+++ b/include/fulmarjunction/serving/in_flight.hpp
@@ -27,6 +27,8 @@
     request_context context;
     /// Extra attempts left for the calls that it makes.
     retry_budget budget;
+    /// A call that it made was refused as overloaded.
+    bool refused_below = false;
     /// Happens when the request ends, so that its calls end too.
     cancel_event canceled;
 };
--- a/include/fulmarjunction/settings/settings.hpp
+++ b/include/fulmarjunction/settings/settings.hpp
@@ -80,13 +80,13 @@
     std::string pepper_file;
 };
 
-struct freshness_settings
+struct freshness_group
 {
     milliseconds limit{4000};
     serve_rule serve_when = serve_rule::all_zones_report_outage;
 };
 
-struct rate_settings
+struct rate_group
 {
     seconds lease{21'600};
     milliseconds loan{300};
@@ -127,12 +127,12 @@
     operator_settings operators;
     platform_settings platform;
     key_settings keys;
-    freshness_settings freshness;
+    freshness_group freshness;
     /// Nodes of each availability zone that poll the table.
     std::size_t readers_per_zone = 2;
     milliseconds poll_interval{1000};
     milliseconds probe_interval{1000};
-    rate_settings rates;
+    rate_group rates;
     retry_settings retries;
     unique_settings unique;
     admission_settings admission;
--- /dev/null
+++ b/src/daemon/fulmard_main.cpp
@@ -0,0 +1,129 @@
+/// @file
+/// fulmard: the daemon beside each backend server instance.
+
+#include <fulmarjunction/core/log.hpp>
+#include <fulmarjunction/daemon/node.hpp>
+#include <fulmarjunction/settings/settings.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <fmt/format.h>
+#include <popt.h>
+
+#include <csignal>
+#include <cstdio>
+#include <memory>
+#include <string>
+
+namespace fj = fulmarjunction;
+
+namespace {
+
+constexpr int exit_ok = 0;
+constexpr int exit_failed = 1;
+constexpr int exit_bad_settings = 2;
+
+struct command_line
+{
+    std::string settings_file;
+    bool only_check = false;
+    bool print_reference = false;
+};
+
+/// Returns the command line, or an exit code when there is nothing to run.
+std::pair<command_line, int> read_command_line(int argc, const char** argv)
+{
+    char* settings_file = nullptr;
+    char* checked_file = nullptr;
+    int reference = 0;
+    const poptOption options[] = {
+        {"settings", 's', POPT_ARG_STRING, &settings_file, 0,
+         "run with the settings in FILE", "FILE"},
+        {"check-settings", 'c', POPT_ARG_STRING, &checked_file, 0,
+         "check FILE, start nothing; exit code 2 when it is refused", "FILE"},
+        {"settings-reference", 0, POPT_ARG_NONE, &reference, 0,
+         "print every setting with its unit, range and default", nullptr},
+        POPT_AUTOHELP POPT_TABLEEND};
+    const std::unique_ptr<poptContext_s, poptContext (*)(poptContext)> context(
+        poptGetContext("fulmard", argc, argv, options, 0), poptFreeContext);
+    const int stopped_at = poptGetNextOpt(context.get());
+    command_line chosen;
+    if (stopped_at < -1 || poptPeekArg(context.get()) != nullptr) {
+        fmt::print(
+            stderr, "fulmard: {}: {}\n",
+            poptBadOption(context.get(), POPT_BADOPTION_NOALIAS),
+            stopped_at < -1 ? poptStrerror(stopped_at) : "unknown argument");
+        return {chosen, exit_bad_settings};
+    }
+    chosen.print_reference = reference != 0;
+    chosen.only_check = checked_file != nullptr;
+    if (chosen.only_check)
+        chosen.settings_file = checked_file;
+    else if (settings_file != nullptr)
+        chosen.settings_file = settings_file;
+    if (chosen.settings_file.empty() && !chosen.print_reference) {
+        fmt::print(stderr, "fulmard: --settings FILE is required\n");
+        return {chosen, exit_bad_settings};
+    }
+    return {chosen, exit_ok};
+}
+
+int run(fj::node_settings settings)
+{
+    boost::asio::io_context context(1);
+    fj::set_log_level(settings.log.level);
+    fj::node node(context, std::move(settings));
+    if (const auto started = node.start(); !started) {
+        fj::log(
+            fj::log_level::error, "start_failed",
+            {{"error", to_string(started.error())}});
+        return exit_failed;
+    }
+    bool is_stopping = false;
+    bool is_forced = false;
+    boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+    std::function<void()> wait_for_signal = [&] {
+        signals.async_wait([&](const boost::system::error_code& problem, int) {
+            if (problem)
+                return;
+            if (std::exchange(is_stopping, true)) {
+                fj::log(fj::log_level::warning, "stop_forced");
+                is_forced = true;
+                context.stop();
+                return;
+            }
+            node.stop([&] { context.stop(); });
+            wait_for_signal();
+        });
+    };
+    wait_for_signal();
+    context.run();
+    return is_forced ? exit_failed : exit_ok;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const auto [chosen, code] =
+        read_command_line(argc, const_cast<const char**>(argv));
+    if (code != exit_ok)
+        return code;
+    if (chosen.print_reference) {
+        fmt::print("{}", fj::settings_reference());
+        return exit_ok;
+    }
+    auto settings = fj::load_settings(chosen.settings_file);
+    if (!settings) {
+        fmt::print(stderr, "fulmard: {}\n", settings.error().detail);
+        return exit_bad_settings;
+    }
+    if (chosen.only_check) {
+        fmt::print("{}: ok\n", chosen.settings_file);
+        return exit_ok;
+    }
+    // A write to a connection that the peer has closed must not end the
+    // process.
+    std::signal(SIGPIPE, SIG_IGN);
+    return run(std::move(settings.value()));
+}
--- /dev/null
+++ b/src/daemon/gossip.cpp
@@ -0,0 +1,194 @@
+#include "gossip.hpp"
+
+#include "control.hpp"
+
+#include <fulmarjunction/core/log.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <utility>
+
+namespace fulmarjunction {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr milliseconds tick_period(100);
+constexpr milliseconds message_timeout(1000);
+/// Pieces of one pull; a longer one goes on with the next probe.
+constexpr int max_pull_pieces = 64;
+
+} // namespace
+
+gossip::gossip(
+    const asio::any_io_executor& executor, node_state& state,
+    peer_client& peers)
+    : executor_(executor), state_(state), peers_(peers)
+{
+    ticks_ =
+        state_.timers.every(tick_period, [this](time_point) { send_due(); });
+}
+
+void gossip::send_due()
+{
+    const auto now = clock::now();
+    auto orders = state_.members.tick(
+        now, state_.rows.version(), state_.evidence.evidence(now));
+    for (auto& order : orders.probes)
+        asio::co_spawn(executor_, send_probe(std::move(order)), asio::detached);
+    for (auto& order : orders.leaves)
+        asio::co_spawn(executor_, send_leave(std::move(order)), asio::detached);
+    state_.refresh(now);
+}
+
+awaitable<void> gossip::send_probe(probe_order order)
+{
+    const auto sent = clock::now();
+    const auto address = parse_endpoint(order.address);
+    // A seed is known by its address alone until it has answered.
+    const auto expected =
+        state_.members.find(order.to) ? order.to : instance_name();
+    const auto text =
+        address
+            ? co_await send_control(
+                  peers_, {expected, *address}, "probe", to_text(order.message),
+                  sent + state_.settings.probe_interval)
+            : result<std::string>(error{errc::invalid_argument, "probe"});
+    const auto now = clock::now();
+    const auto answer = text ? parse_probe_message(text.value())
+                             : result<probe_message>(text.error());
+    if (!answer) {
+        state_.members.probe_failed(order.to, now);
+        state_.refresh(now);
+        co_return;
+    }
+    const auto learned =
+        state_.members.probe_answered(order.to, answer.value(), sent, now);
+    learn({answer.value().from, *address}, learned);
+}
+
+void gossip::learn(peer_address from, const probe_result& learned)
+{
+    const auto now = clock::now();
+    if (!from.name.empty())
+        state_.known_versions[from.name] = learned.version;
+    if (!learned.evidence.empty())
+        state_.evidence.merge(learned.evidence, learned.counted_from, now);
+    if (const auto request = state_.rows.peer_version(learned.version))
+        start_pull(from, *request);
+    state_.refresh(now);
+}
+
+awaitable<void> gossip::send_leave(leave_order order)
+{
+    const auto address = parse_endpoint(order.address);
+    if (!address)
+        co_return;
+    const auto ignored = co_await send_control(
+        peers_, {order.to, *address}, "leave", to_text(order.message),
+        clock::now() + message_timeout);
+    if (!ignored) {
+        log(log_level::debug, "leave_not_delivered",
+            {{"peer", order.to}, {"error", to_string(ignored.error())}});
+    }
+}
+
+void gossip::push_rows()
+{
+    for (const auto& name : state_.members.neighbours()) {
+        const auto to = state_.locate(name);
+        auto& known = state_.known_versions[name];
+        if (!to || known >= state_.rows.version())
+            continue;
+        asio::co_spawn(
+            executor_, send_push(*to, state_.rows.push(known)), asio::detached);
+        known = state_.rows.version();
+    }
+}
+
+awaitable<void> gossip::send_push(peer_address to, rows_delta delta)
+{
+    const auto sent = co_await send_control(
+        peers_, to, "rows", to_text(delta), clock::now() + message_timeout);
+    if (!sent)
+        state_.known_versions.erase(to.name);
+}
+
+void gossip::start_pull(const peer_address& from, const rows_request& request)
+{
+    if (std::exchange(pulling_, true))
+        return;
+    asio::co_spawn(executor_, pull(from, request), asio::detached);
+}
+
+awaitable<void> gossip::pull(peer_address from, rows_request request)
+{
+    for (int piece = 0; piece != max_pull_pieces; ++piece) {
+        const auto text = co_await send_control(
+            peers_, from, "rows", to_text(request),
+            clock::now() + message_timeout);
+        if (!text)
+            break;
+        const auto message = parse_rows_message(text.value());
+        const auto* delta =
+            message ? std::get_if<rows_delta>(&message.value()) : nullptr;
+        if (delta == nullptr)
+            break;
+        const auto update = state_.rows.apply_delta(*delta);
+        state_.refresh(clock::now());
+        if (update.advanced)
+            push_rows();
+        if (!update.pull)
+            break;
+        request = *update.pull;
+    }
+    pulling_ = false;
+}
+
+result<std::string>
+gossip::answer_probe(const instance_name& from, std::string_view text)
+{
+    BOOST_OUTCOME_TRY(auto message, parse_probe_message(text));
+    if (message.from != from)
+        return fail(errc::unauthorized, "probe", from, "other sender's name");
+    const auto now = clock::now();
+    auto reply = state_.members.probe_received(
+        message, now, state_.rows.version(), state_.evidence.evidence(now));
+    if (const auto to = state_.locate(from))
+        learn(*to, reply.learned);
+    return to_text(reply.message);
+}
+
+result<std::string>
+gossip::answer_leave(const instance_name& from, std::string_view text)
+{
+    BOOST_OUTCOME_TRY(auto message, parse_leave_message(text));
+    if (message.from != from)
+        return fail(errc::unauthorized, "leave", from, "other sender's name");
+    state_.members.leave_received(message, clock::now());
+    send_due();
+    return std::string("{}");
+}
+
+result<std::string>
+gossip::answer_rows(const instance_name& from, std::string_view text)
+{
+    BOOST_OUTCOME_TRY(auto message, parse_rows_message(text));
+    if (const auto* request = std::get_if<rows_request>(&message))
+        return to_text(state_.rows.answer(*request));
+    const auto& delta = std::get<rows_delta>(message);
+    const auto update = state_.rows.apply_delta(delta);
+    auto& known = state_.known_versions[from];
+    known = std::max(known, delta.head);
+    state_.refresh(clock::now());
+    if (update.advanced)
+        push_rows();
+    const auto to = state_.locate(from);
+    if (update.pull && to)
+        start_pull(*to, *update.pull);
+    return std::string("{}");
+}
+
+} // namespace fulmarjunction
--- /dev/null
+++ b/src/daemon/node.cpp
@@ -0,0 +1,523 @@
+#include <fulmarjunction/daemon/node.hpp>
+
+#include "control.hpp"
+#include "gossip.hpp"
+#include "node_state.hpp"
+#include "operators.hpp"
+#include "table_link.hpp"
+#include "token_gate.hpp"
+#include "unique_runner.hpp"
+
+#include <fulmarjunction/core/log.hpp>
+#include <fulmarjunction/platform/bounded_table_service.hpp>
+#include <fulmarjunction/platform/http_platform.hpp>
+#include <fulmarjunction/serving/egress.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/ssl/context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <sodium.h>
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace fulmarjunction {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+/// Longest sleep of the timer loop: new subscriptions are noticed by then.
+constexpr milliseconds longest_sleep(10);
+/// How long a stopping node still takes calls from peers that have not heard
+/// of it; a leave message reaches everyone well within it.
+constexpr seconds leave_grace(2);
+constexpr milliseconds stop_check(20);
+/// Part of the drain limit that is kept for the steps after the last request.
+constexpr seconds handover_limit(5);
+
+incarnation clock_incarnation()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<incarnation>(
+        std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
+/// Returns an incarnation above the one in the instance's row, where the row
+/// can be read; else the start time alone orders the lives.
+incarnation choose_incarnation(const node_settings& settings)
+{
+    asio::io_context context;
+    auto table = make_http_table_service(
+        context.get_executor(), settings.platform.address,
+        settings.platform.timeout);
+    auto life = clock_incarnation();
+    asio::co_spawn(
+        context,
+        [&]() -> awaitable<void> {
+            const auto key = instance_row_key(settings.name);
+            const auto row = co_await table.get(key);
+            if (!row || !row.value())
+                co_return;
+            const auto record = parse_instance_record(key, row.value()->value);
+            if (record)
+                life = std::max(life, record.value().life + 1);
+        },
+        asio::detached);
+    context.run_for(settings.platform.timeout + milliseconds(100));
+    return life;
+}
+
+result<std::shared_ptr<asio::ssl::context>>
+make_tls(const std::optional<tls_settings>& settings)
+{
+    if (!settings)
+        return std::shared_ptr<asio::ssl::context>();
+    auto tls =
+        std::make_shared<asio::ssl::context>(asio::ssl::context::tls_server);
+    boost::system::error_code problem;
+    tls->set_options(
+        asio::ssl::context::no_tlsv1 | asio::ssl::context::no_tlsv1_1 |
+            asio::ssl::context::default_workarounds,
+        problem);
+    tls->use_certificate_chain_file(settings->certificate, problem);
+    if (problem) {
+        return fail(
+            errc::invalid_settings, "read certificate", settings->certificate,
+            problem.message());
+    }
+    tls->use_private_key_file(settings->key, asio::ssl::context::pem, problem);
+    if (problem) {
+        return fail(
+            errc::invalid_settings, "read private key", settings->key,
+            problem.message());
+    }
+    return tls;
+}
+
+} // namespace
+
+class node::impl
+{
+public:
+    impl(asio::io_context& context, node_settings settings)
+        : context_(context), executor_(context.get_executor()),
+          settings_(std::move(settings))
+    {
+    }
+
+    result<void> start();
+    void stop(std::function<void()> at_end);
+
+private:
+    result<void> load_secrets();
+    result<void> listen_to_peers();
+    result<void> listen_to_operators();
+    result<void> listen_to_callers();
+    result<void> listen_to_backend();
+    void build(instance_record self);
+    void build_serving();
+    void build_platform();
+    result<tcp::endpoint> listen(
+        std::unique_ptr<http_server>& server, const tcp::endpoint& address,
+        std::string_view role);
+    http_limits caller_limits() const;
+
+    awaitable<streamed_response> serve_peer(peer_request request);
+    result<std::string> answer_control(
+        const instance_name& from, std::string_view name,
+        std::string_view text);
+    awaitable<void> drive_timers();
+    awaitable<void> run_stop(std::function<void()> at_end);
+    awaitable<void>
+    wait_until(std::function<bool()> is_done, time_point deadline);
+    bool is_idle() const;
+    void report_backend();
+
+    asio::io_context& context_;
+    asio::any_io_executor executor_;
+    node_settings settings_;
+    node_secrets secrets_;
+    peer_identity identity_;
+    std::unique_ptr<peer_server> peer_server_;
+    std::unique_ptr<peer_client> peer_client_;
+    std::unique_ptr<node_state> state_;
+    std::shared_ptr<backend_gate> gate_;
+    std::unique_ptr<dispatcher> calls_;
+    std::unique_ptr<gossip> gossip_;
+    std::unique_ptr<table_link> table_;
+    std::unique_ptr<token_gate> tokens_;
+    std::unique_ptr<unique_runner> unique_;
+    std::unique_ptr<entry> entry_;
+    std::unique_ptr<egress> egress_;
+    std::unique_ptr<operators> operators_;
+    std::unique_ptr<http_server> caller_server_;
+    std::unique_ptr<http_server> egress_server_;
+    std::unique_ptr<http_server> operator_server_;
+    std::vector<timer_service::subscription> subscriptions_;
+    bool stopping_ = false;
+    bool stopped_ = false;
+};
+
+result<void> node::impl::load_secrets()
+{
+    BOOST_OUTCOME_TRY(secrets_.peer, load_secret(settings_.peers.secret_file));
+    BOOST_OUTCOME_TRY(secrets_.pepper, load_secret(settings_.keys.pepper_file));
+    return boost::outcome_v2::success();
+}
+
+result<void> node::impl::start()
+{
+    if (sodium_init() < 0)
+        return fail(errc::internal, "start", {}, "libsodium");
+    BOOST_OUTCOME_TRY(load_secrets());
+    identity_ = {settings_.name, choose_incarnation(settings_), secrets_.peer};
+    BOOST_OUTCOME_TRY(listen_to_peers());
+    BOOST_OUTCOME_TRY(listen_to_backend());
+    BOOST_OUTCOME_TRY(listen_to_callers());
+    asio::co_spawn(executor_, drive_timers(), asio::detached);
+    log(log_level::info, "started",
+        {{"name", settings_.name},
+         {"incarnation", identity_.life},
+         {"availability_zone", settings_.availability_zone}});
+    return boost::outcome_v2::success();
+}
+
+result<tcp::endpoint> node::impl::listen(
+    std::unique_ptr<http_server>& server, const tcp::endpoint& address,
+    std::string_view role)
+{
+    BOOST_OUTCOME_TRY(auto bound, server->listen(address));
+    log(log_level::info, "listening",
+        {{"role", role}, {"address", to_text(bound)}});
+    return bound;
+}
+
+result<void> node::impl::listen_to_peers()
+{
+    peer_server_ = std::make_unique<peer_server>(
+        executor_, identity_, peer_limits{}, [this](peer_request request) {
+            return serve_peer(std::move(request));
+        });
+    peer_client_ =
+        std::make_unique<peer_client>(executor_, identity_, peer_limits{});
+    BOOST_OUTCOME_TRY(auto peers, peer_server_->listen(settings_.peers.listen));
+    log(log_level::info, "listening",
+        {{"role", "peers"}, {"address", to_text(peers)}});
+    operator_server_ = std::make_unique<http_server>(
+        executor_, http_limits{},
+        [this](http_request request) {
+            return operators_->handle(std::move(request));
+        },
+        [](int) {
+            return caller_refusal(
+                {outcome::not_run, refusal_reason::malformed, 0}, "");
+        });
+    BOOST_OUTCOME_TRY(
+        auto operators_at,
+        listen(operator_server_, settings_.operators.listen, "operators"));
+
+    instance_record self;
+    self.name = settings_.name;
+    self.life = identity_.life;
+    self.peer_address = to_text(settings_.peers.advertise.value_or(peers));
+    self.operator_address = to_text(operators_at);
+    self.zone = settings_.availability_zone;
+    self.region = settings_.region;
+    self.lease = settings_.rates.lease;
+    build(std::move(self));
+    return boost::outcome_v2::success();
+}
+
+void node::impl::build(instance_record self)
+{
+    state_ = std::make_unique<node_state>(
+        settings_, secrets_, std::move(self), clock::now());
+    gossip_ = std::make_unique<gossip>(executor_, *state_, *peer_client_);
+    build_platform();
+    build_serving();
+    operator_view view;
+    view.state = state_.get();
+    view.callers = entry_.get();
+    view.own_calls = egress_.get();
+    view.gate = gate_.get();
+    view.calls = calls_.get();
+    view.served_peers = &peer_server_->counters();
+    view.called_peers = &peer_client_->counters();
+    view.is_stopping = [this] { return stopping_; };
+    view.drain = [this] { stop([this] { context_.stop(); }); };
+    operators_ = std::make_unique<operators>(std::move(view));
+}
+
+void node::impl::build_platform()
+{
+    platform_policy policy;
+    policy.attempt_timeout = settings_.platform.timeout;
+    policy.calls_per_s = settings_.platform.calls_per_s;
+    table_ = std::make_unique<table_link>(
+        executor_, *state_, *gossip_,
+        make_bounded_table_service(
+            make_http_table_service(
+                executor_, settings_.platform.address,
+                settings_.platform.timeout),
+            policy, make_platform_hooks()));
+    tokens_ = std::make_unique<token_gate>(executor_, *state_, *peer_client_);
+}
+
+void node::impl::build_serving()
+{
+    gate_ = std::make_shared<backend_gate>(
+        executor_, settings_.admission, state_->timers, isolation_hooks{});
+    gate_->on_change = [this] { report_backend(); };
+    dispatcher::parts wiring;
+    wiring.self = settings_.name;
+    wiring.instances = &state_->routes;
+    wiring.peers = peer_client_.get();
+    wiring.gate = gate_;
+    wiring.locate = [this](const instance_name& name) {
+        return state_->locate(name);
+    };
+    calls_ = std::make_unique<dispatcher>(executor_, std::move(wiring));
+    unique_ = std::make_unique<unique_runner>(executor_, *state_, *calls_);
+
+    const auto run_unique = [this](
+                                outgoing_call call, retry_budget& budget,
+                                cancel_event canceled) {
+        return unique_->run(std::move(call), budget, std::move(canceled));
+    };
+    const auto issue_keys =
+        [this](const client_account& account, std::size_t count) {
+            return unique_->issue(account, count);
+        };
+    entry::parts callers;
+    callers.config = &state_->config;
+    callers.calls = calls_.get();
+    callers.pepper = secrets_.pepper;
+    callers.extra_attempts = settings_.retries.extra_attempts;
+    callers.hooks.is_fresh = [this] { return state_->is_fresh(clock::now()); };
+    callers.hooks.charge = [this](client_account account, time_point deadline) {
+        return tokens_->charge(std::move(account), deadline);
+    };
+    callers.hooks.run_unique = run_unique;
+    callers.hooks.issue_keys = issue_keys;
+    callers.hooks.refuse_early =
+        [this](const entry_root& root) -> std::optional<refusal> {
+        if (state_->levels.admit(root, clock::now()))
+            return std::nullopt;
+        return refusal{outcome::not_run, refusal_reason::overloaded, 1000};
+    };
+    callers.hooks.ended = [this](const entry_root& root, bool refused_below) {
+        state_->levels.ended(root, refused_below, clock::now());
+    };
+    entry_ = std::make_unique<entry>(executor_, std::move(callers));
+    egress_ = std::make_unique<egress>(
+        executor_,
+        egress::parts{
+            &state_->config, calls_.get(), gate_, run_unique, issue_keys});
+}
+
+void node::impl::report_backend()
+{
+    const auto now = clock::now();
+    if (const auto* backend = gate_->backend()) {
+        state_->members.backend_announced(
+            {backend->service, backend->slots, backend->draining}, now);
+        state_->row.set_backend(backend->service, backend->slots);
+    } else {
+        state_->members.backend_lost(now);
+    }
+    gossip_->send_due();
+}
+
+http_limits node::impl::caller_limits() const
+{
+    http_limits limits;
+    limits.max_header_bytes = settings_.callers.max_header_bytes;
+    limits.max_connections = settings_.callers.max_connections;
+    return limits;
+}
+
+result<void> node::impl::listen_to_callers()
+{
+    BOOST_OUTCOME_TRY(auto tls, make_tls(settings_.callers.tls));
+    caller_server_ = std::make_unique<http_server>(
+        executor_, caller_limits(),
+        [this](http_request request) {
+            return entry_->handle(std::move(request));
+        },
+        [this](int status) { return entry_->refuse_malformed(status); }, tls);
+    BOOST_OUTCOME_TRY(
+        listen(caller_server_, settings_.callers.listen, "callers"));
+    return boost::outcome_v2::success();
+}
+
+result<void> node::impl::listen_to_backend()
+{
+    egress_server_ = std::make_unique<http_server>(
+        executor_, http_limits{},
+        [this](http_request request) {
+            return egress_->handle(std::move(request));
+        },
+        [this](int status) { return entry_->refuse_malformed(status); });
+    BOOST_OUTCOME_TRY(
+        listen(egress_server_, settings_.egress.listen, "egress"));
+    return boost::outcome_v2::success();
+}
+
+awaitable<streamed_response> node::impl::serve_peer(peer_request request)
+{
+    auto& message = request.message;
+    constexpr std::string_view control_prefix = "/control/";
+    const auto host = find_header(message.headers, "host");
+    if (host == "control" && message.target.starts_with(control_prefix)) {
+        const auto name = message.target.substr(control_prefix.size());
+        auto text =
+            co_await read_body(std::move(message.body), max_control_bytes);
+        if (!text)
+            co_return control_answer(text);
+        co_return control_answer(
+            answer_control(request.from, name, text.value()));
+    }
+    const bool is_execute =
+        find_header(message.headers, "fj-kind") == "execute";
+    remove_header(message.headers, "fj-kind");
+    auto context = take_context(message.headers, clock::now());
+    if (!context) {
+        log(log_level::warning, "peer_request_refused",
+            {{"peer", request.from}, {"error", to_string(context.error())}});
+        co_return refusal_answer(
+            {outcome::not_run, refusal_reason::malformed, 0}, {});
+    }
+    if (is_execute) {
+        co_return co_await unique_->run_for_peer(
+            std::move(context.value()), std::move(message));
+    }
+    const cancel_event canceled(executor_);
+    request.on_cancel([canceled] { canceled.cancel(); });
+    co_return co_await gate_->serve(
+        std::move(context.value()), std::move(message), canceled);
+}
+
+result<std::string> node::impl::answer_control(
+    const instance_name& from, std::string_view name, std::string_view text)
+{
+    if (name == "probe")
+        return gossip_->answer_probe(from, text);
+    if (name == "leave")
+        return gossip_->answer_leave(from, text);
+    if (name == "rows")
+        return gossip_->answer_rows(from, text);
+    if (name == "borrow")
+        return tokens_->answer_borrow(from, text);
+    if (name == "handover")
+        return unique_->answer_handover(from, text);
+    return fail(errc::not_found, "control", from, std::string(name));
+}
+
+awaitable<void> node::impl::drive_timers()
+{
+    asio::steady_timer timer(executor_);
+    while (!stopped_) {
+        const auto now = clock::now();
+        state_->timers.advance(now);
+        const auto due =
+            state_->timers.next_due().value_or(now + longest_sleep);
+        timer.expires_at(std::min(due, now + longest_sleep));
+        boost::system::error_code ignored;
+        co_await timer.async_wait(
+            asio::redirect_error(asio::use_awaitable, ignored));
+        if (table_->is_superseded() && !stopping_) {
+            log(log_level::error, "superseded", {{"name", settings_.name}});
+            stop([this] { context_.stop(); });
+        }
+    }
+}
+
+bool node::impl::is_idle() const
+{
+    return caller_server_->requests_in_flight() == 0 &&
+           gate_->in_flight() == 0 && gate_->waiting() == 0 &&
+           state_->issuer.running() == 0;
+}
+
+void node::impl::stop(std::function<void()> at_end)
+{
+    if (std::exchange(stopping_, true))
+        return;
+    log(log_level::info, "stopping",
+        {{"in_flight", gate_->in_flight()},
+         {"callers", caller_server_->requests_in_flight()}});
+    asio::co_spawn(executor_, run_stop(std::move(at_end)), asio::detached);
+}
+
+awaitable<void>
+node::impl::wait_until(std::function<bool()> is_done, time_point deadline)
+{
+    asio::steady_timer timer(executor_);
+    while (!is_done() && clock::now() < deadline) {
+        timer.expires_after(stop_check);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+awaitable<void> node::impl::run_stop(std::function<void()> at_end)
+{
+    const auto begun = clock::now();
+    const auto deadline = begun + settings_.drain.limit;
+    state_->members.leave(begun);
+    state_->row.mark_leaving();
+    state_->rates.begin_stop(begun);
+    state_->issuer.begin_stop(begun);
+    gossip_->send_due();
+    caller_server_->begin_shutdown();
+    // Peers that have not heard yet still send calls: they are served.
+    co_await wait_until([] { return false; }, begun + leave_grace);
+    co_await wait_until([this] { return is_idle(); }, deadline);
+    if (!is_idle()) {
+        log(log_level::warning, "drain_limit_reached",
+            {{"in_flight", gate_->in_flight()},
+             {"waiting", gate_->waiting()},
+             {"callers", caller_server_->requests_in_flight()}});
+    }
+    const auto limit = clock::now() + handover_limit;
+    co_await wait_until([this] { return state_->rates.is_released(); }, limit);
+    if (state_->issuer.entries() > 0) {
+        co_await unique_->hand_over(
+            *peer_client_, limit, [this](table_transaction change) {
+                return table_->commit(std::move(change));
+            });
+    }
+    state_->row.remove();
+    co_await wait_until([this] { return state_->row.is_settled(); }, limit);
+    peer_server_->begin_shutdown();
+    co_await wait_until(
+        [this] { return peer_server_->open_streams() == 0; }, limit);
+    stopped_ = true;
+    log(log_level::info, "stopped",
+        {{"seconds", to_seconds(clock::now() - begun)}});
+    at_end();
+}
+
+node::node(asio::io_context& context, node_settings settings)
+    : impl_(std::make_unique<impl>(context, std::move(settings)))
+{
+}
+
+node::~node() = default;
+
+result<void> node::start()
+{
+    return impl_->start();
+}
+
+void node::stop(std::function<void()> at_end)
+{
+    impl_->stop(std::move(at_end));
+}
+
+} // namespace fulmarjunction
--- /dev/null
+++ b/src/daemon/node_state.cpp
@@ -0,0 +1,241 @@
+#include "node_state.hpp"
+
+#include <fulmarjunction/core/log.hpp>
+
+#include <boost/json.hpp>
+#include <fmt/format.h>
+#include <sodium.h>
+
+#include <charconv>
+#include <random>
+
+namespace fulmarjunction {
+
+namespace {
+
+constexpr std::string_view share_prefix = "shares/";
+constexpr std::string_view handover_prefix = "handover/";
+
+serve_when to_serve_when(serve_rule rule)
+{
+    switch (rule) {
+    case serve_rule::majority_of_zones:
+        return serve_when::majority_of_zones;
+    case serve_rule::always:
+        return serve_when::always;
+    case serve_rule::all_zones_report_outage:
+        break;
+    }
+    return serve_when::all_zones_report_outage;
+}
+
+freshness_settings to_freshness(const node_settings& settings)
+{
+    return {
+        settings.freshness.limit, to_serve_when(settings.freshness.serve_when)};
+}
+
+membership_settings to_membership(const node_settings& settings)
+{
+    membership_settings converted;
+    converted.probe_interval = settings.probe_interval;
+    return converted;
+}
+
+rate_settings to_rates(const node_settings& settings)
+{
+    rate_settings converted;
+    converted.lease = settings.rates.lease;
+    converted.loan_life = settings.rates.loan;
+    return converted;
+}
+
+issuer_settings to_issuer(const node_settings& settings)
+{
+    issuer_settings converted;
+    converted.key_life = settings.unique.expiry;
+    converted.most_open_keys = settings.unique.max_open_per_account;
+    converted.largest_kept_answer = settings.unique.kept_answer_bytes;
+    return converted;
+}
+
+} // namespace
+
+std::function<std::uint64_t()> make_random()
+{
+    const auto seed =
+        (std::uint64_t{randombytes_random()} << 32) | randombytes_random();
+    return [engine = std::mt19937_64(seed)]() mutable { return engine(); };
+}
+
+std::optional<boost::asio::ip::tcp::endpoint>
+parse_endpoint(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+        return std::nullopt;
+    boost::system::error_code problem;
+    const auto address = boost::asio::ip::make_address(
+        std::string(text.substr(0, colon)), problem);
+    std::uint16_t port = 0;
+    const char* const end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
+    if (problem || parsed.ec != std::errc() || parsed.ptr != end)
+        return std::nullopt;
+    return boost::asio::ip::tcp::endpoint(address, port);
+}
+
+std::string to_text(const boost::asio::ip::tcp::endpoint& address)
+{
+    return fmt::format("{}:{}", address.address().to_string(), address.port());
+}
+
+node_state::node_state(
+    const node_settings& given, const node_secrets& secrets,
+    instance_record record, time_point now)
+    : settings(given), self(std::move(record)), timers(now),
+      evidence(to_freshness(given)), members(to_membership(given), self, now),
+      row(self, now, make_random()),
+      rates(
+          to_rates(given), rate_member{self.name, self.zone, self.life},
+          make_random()(), now),
+      issuer(
+          to_issuer(given), self.name, self.life,
+          derive_key_secret(secrets.peer), now),
+      routes(self.zone, make_random()), levels(make_random())
+{
+    rows.observe(
+        [this](const table_row& changed) { apply(changed, clock::now()); });
+    members.observe_services([this](const service_name& service) {
+        changed_services_.insert(service);
+        members_changed_ = true;
+    });
+    for (const auto& seed : given.peers.seeds)
+        members.add_seed(to_text(seed));
+}
+
+void node_state::apply(const table_row& changed, time_point now)
+{
+    const std::string_view key = changed.key;
+    if (const auto applied = config.apply(key, changed.value, changed.deleted);
+        !applied) {
+        log(log_level::error, "row_refused",
+            {{"row", key}, {"error", to_string(applied.error())}});
+    }
+    if (key.starts_with("catalog/"))
+        plans_changed_ = true;
+    if (key.starts_with(instance_row_prefix)) {
+        members.apply_row(changed, now);
+        lapses.apply_row(changed, now);
+        members_changed_ = true;
+        observed_instance seen{
+            std::string(key.substr(instance_row_prefix.size()))};
+        seen.version = changed.version;
+        if (!changed.deleted) {
+            const auto record = parse_instance_record(key, changed.value);
+            seen.present = record.has_value();
+            seen.life = record ? record.value().life : 0;
+            seen.renewals = record ? record.value().renewals : 0;
+        }
+        if (seen.name != self.name)
+            rates.observe_instance(seen, now);
+    } else if (key.starts_with(share_prefix)) {
+        const client_account account(key.substr(share_prefix.size()));
+        const auto value =
+            changed.deleted ? to_json(share_ledger{}) : changed.value;
+        const auto applied =
+            rates.apply_ledger_row(account, value, changed.version, now);
+        if (!applied) {
+            log(log_level::error, "row_refused",
+                {{"row", key}, {"error", to_string(applied.error())}});
+        }
+    } else if (key.starts_with(handover_prefix) && !changed.deleted) {
+        if (const auto parsed = parse_handover_row(changed.value)) {
+            const auto& found = parsed.value();
+            handovers_.insert_or_assign({found.issuer, found.life}, found);
+            issuer.apply_handover_row(found, now);
+        }
+    }
+}
+
+void node_state::refresh(time_point now)
+{
+    evidence.replica_advanced(rows.version());
+    if (std::exchange(plans_changed_, false))
+        refresh_plans(now);
+    if (std::exchange(members_changed_, false)) {
+        refresh_members(now);
+        refresh_routes(now);
+    }
+}
+
+void node_state::refresh_plans(time_point now)
+{
+    const auto version_of = [this](std::string_view key) {
+        const auto* held = rows.find(key);
+        return held != nullptr ? held->version : 0;
+    };
+    const auto accounts_version = version_of("catalog/accounts");
+    const auto plans_version = version_of("catalog/plans");
+    std::set<client_account> with_plan;
+    for (const auto& account : config.accounts().accounts) {
+        const auto* plan = config.plan_of(account.name);
+        if (plan == nullptr)
+            continue;
+        with_plan.insert(account.name);
+        rates.set_plan(
+            account.name,
+            account_plan{
+                plan->rate, plan->burst, accounts_version, plans_version},
+            now);
+    }
+    for (const auto& account : accounts_with_plan_) {
+        if (!with_plan.contains(account))
+            rates.remove_plan(account, now);
+    }
+    accounts_with_plan_ = std::move(with_plan);
+}
+
+void node_state::refresh_members(time_point now)
+{
+    std::vector<rate_member> live;
+    for (const auto& name : members.live()) {
+        const auto found = members.find(name);
+        if (found)
+            live.push_back({name, found->record.zone, found->record.life});
+    }
+    rates.set_members(std::move(live), now);
+    evidence.set_zones(members.zones());
+}
+
+void node_state::refresh_routes(time_point now)
+{
+    for (const auto& service : std::exchange(changed_services_, {})) {
+        std::vector<routing_candidate> candidates;
+        for (const auto& one : members.candidates(service))
+            candidates.push_back({one.name, one.zone, one.slots, one.life});
+        routes.set_instances(service, std::move(candidates), now);
+    }
+}
+
+bool node_state::is_fresh(time_point now) const
+{
+    return evidence.decide(now) != freshness_decision::stale;
+}
+
+std::optional<peer_address> node_state::locate(const instance_name& name) const
+{
+    const auto address = parse_endpoint(members.address_of(name));
+    if (!address)
+        return std::nullopt;
+    return peer_address{name, *address};
+}
+
+const handover_row* node_state::successor_of(
+    const instance_name& issuer_name, incarnation life) const
+{
+    const auto found = handovers_.find({issuer_name, life});
+    return found == handovers_.end() ? nullptr : &found->second;
+}
+
+} // namespace fulmarjunction
--- /dev/null
+++ b/src/daemon/node_state.hpp
@@ -0,0 +1,101 @@
+/// @file
+/// The decision objects of one node and how rows reach them.
+#pragma once
+
+#include <fulmarjunction/admission/endpoint_levels.hpp>
+#include <fulmarjunction/catalog/catalog.hpp>
+#include <fulmarjunction/core/timer_service.hpp>
+#include <fulmarjunction/membership/membership.hpp>
+#include <fulmarjunction/membership/own_row.hpp>
+#include <fulmarjunction/rates/rate_limiter.hpp>
+#include <fulmarjunction/replica/freshness.hpp>
+#include <fulmarjunction/replica/replica.hpp>
+#include <fulmarjunction/routing/balancer.hpp>
+#include <fulmarjunction/serving/dispatcher.hpp>
+#include <fulmarjunction/settings/settings.hpp>
+#include <fulmarjunction/unique/key_issuer.hpp>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace fulmarjunction {
+
+/// What a node needs besides its settings.
+struct node_secrets
+{
+    /// Shared by all nodes; proves that a peer belongs to the deployment.
+    std::string peer;
+    /// Under which the hashes of keys are made.
+    std::string pepper;
+};
+
+/// All state of a node that decides; it does no input or output.
+struct node_state
+{
+    node_state(
+        const node_settings& settings, const node_secrets& secrets,
+        instance_record self, time_point now);
+    node_state(const node_state&) = delete;
+    node_state& operator=(const node_state&) = delete;
+
+    /// Passes on what rows or probes have changed since the last call: plans
+    /// to the rate limiter, instances to routing, zones to freshness.
+    void refresh(time_point now);
+
+    /// Returns whether keyed requests may be served.
+    bool is_fresh(time_point now) const;
+
+    /// Returns where the node of an instance listens for peers.
+    std::optional<peer_address> locate(const instance_name& name) const;
+
+    /// Returns the successor to which an issuer handed over its keys.
+    const handover_row*
+    successor_of(const instance_name& issuer, incarnation life) const;
+
+    node_settings settings;
+    instance_record self;
+    timer_service timers;
+    replica rows;
+    freshness evidence;
+    membership members;
+    own_row row;
+    lapse_watch lapses;
+    catalog config;
+    rate_limiter rates;
+    key_issuer issuer;
+    balancer routes;
+    endpoint_levels levels;
+    /// Version of the replica that each neighbour is known to hold.
+    std::map<instance_name, table_version> known_versions;
+
+private:
+    void apply(const table_row& row, time_point now);
+    void refresh_plans(time_point now);
+    void refresh_members(time_point now);
+    void refresh_routes(time_point now);
+
+    using issuer_life = std::pair<instance_name, incarnation>;
+    std::map<issuer_life, handover_row> handovers_;
+    std::set<client_account> accounts_with_plan_;
+    std::set<service_name> changed_services_;
+    bool plans_changed_ = false;
+    bool members_changed_ = true;
+};
+
+/// Reads `ip:port`.
+std::optional<boost::asio::ip::tcp::endpoint>
+parse_endpoint(std::string_view text);
+
+/// Returns `ip:port`.
+std::string to_text(const boost::asio::ip::tcp::endpoint& address);
+
+/// Returns a generator of uniform 64-bit numbers with a random seed.
+std::function<std::uint64_t()> make_random();
+
+} // namespace fulmarjunction
--- /dev/null
+++ b/src/daemon/token_gate.hpp
@@ -0,0 +1,57 @@
+/// @file
+/// Charges requests to accounts, waiting for loans of tokens where needed.
+#pragma once
+
+#include "node_state.hpp"
+
+#include <fulmarjunction/peer/peer.hpp>
+#include <fulmarjunction/serving/cancel_event.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <memory>
+#include <unordered_map>
+
+namespace fulmarjunction {
+
+/// Connects the rate limiter to requests that wait and to peers that lend.
+class token_gate
+{
+public:
+    token_gate(
+        const boost::asio::any_io_executor& executor, node_state& state,
+        peer_client& peers);
+
+    /// Charges one request.
+    /// @return nothing when it was charged, else why not
+    awaitable<std::optional<refusal>>
+    charge(client_account account, time_point deadline);
+
+    /// Answers the control message `borrow`.
+    result<std::string>
+    answer_borrow(const instance_name& from, std::string_view text);
+
+private:
+    struct waiter
+    {
+        explicit waiter(const boost::asio::any_io_executor& executor)
+            : signal(executor)
+        {
+        }
+
+        cancel_event signal;
+        resolved_ticket end;
+    };
+
+    void apply(rate_effects effects);
+    awaitable<void> send(outgoing_borrow borrow);
+    awaitable<rate_effects> exchange(outgoing_borrow borrow);
+
+    boost::asio::any_io_executor executor_;
+    node_state& state_;
+    peer_client& peers_;
+    std::unordered_map<rate_ticket, std::shared_ptr<waiter>> waiters_;
+    timer_service::subscription polls_;
+};
+
+} // namespace fulmarjunction
--- a/src/serving/backend_gate.cpp
+++ b/src/serving/backend_gate.cpp
@@ -111,7 +111,7 @@
 
 backend_gate::~backend_gate() = default;
 
-void backend_gate::announced(const backend_announcement& announcement)
+void backend_gate::announced(const backend_report& announcement)
 {
     const auto now = clock::now();
     const bool is_new = !client_ || backend() == nullptr ||
@@ -136,16 +136,17 @@
         on_change();
 }
 
-const backend_announcement* backend_gate::backend() const
+const backend_report* backend_gate::backend() const
 {
     const bool is_current =
         client_ && clock::now() - announced_at_ < announcement_lifetime;
     return is_current ? &announcement_ : nullptr;
 }
 
-admission_level backend_gate::level() const
+admission_level backend_gate::level_for(const request_context& context) const
 {
-    return admission_.level(clock::now());
+    return admission_.level(
+        admission_flow{context.account, context.invested}, clock::now());
 }
 
 void backend_gate::apply(const admission_events& events)
@@ -224,7 +225,7 @@
         id,           context.rank,     context.account, context.weight,
         context.root, context.invested, context.deadline};
     if (const auto refused = co_await admit(std::move(offered), canceled)) {
-        notes.level = level();
+        notes.level = level_for(context);
         co_return refusal_answer(*refused, notes);
     }
     const bool alone = treatment == isolation::run_alone;
@@ -271,7 +272,7 @@
         guard->ended(completion::refused);
         co_return refusal_answer(
             {outcome::not_run, refusal_reason::deadline_expired, 0},
-            notes_of(*guard));
+            notes_of(guard->request()));
     }
     strip_internal_fields(request.headers);
     for (const auto* name :
@@ -286,7 +287,7 @@
         guard->ended(completion::refused);
         co_return refusal_answer(
             {outcome::not_run, refusal_reason::no_instance, 0},
-            notes_of(*guard));
+            notes_of(guard->request()));
     }
     auto response = co_await run_cancelable(
         client_->send(std::move(request), deadline), canceled, "call backend");
@@ -296,11 +297,11 @@
         guard->ended(completion::refused);
         co_return refusal_answer(
             {outcome::not_run, refusal_reason::overloaded, 0},
-            notes_of(*guard));
+            notes_of(guard->request()));
     }
     auto answer = std::move(response.value());
     strip_internal_fields(answer.headers);
-    write_notes(answer.headers, notes_of(*guard));
+    write_notes(answer.headers, notes_of(guard->request()));
     auto limited = with_idle_limit(
         std::move(answer.body), executor_, body_idle_limit, "backend");
     answer.body = with_end_hook(std::move(limited), [guard](bool complete) {
@@ -312,7 +313,7 @@
 streamed_response
 backend_gate::failed_answer(run_guard& guard, const error& problem)
 {
-    auto notes = notes_of(guard);
+    auto notes = notes_of(guard.request());
     if (problem.code == errc::connection_failed) {
         guard.ended(completion::failed);
         check_for_crash();
@@ -336,11 +337,12 @@
         {outcome::unknown, refusal_reason::backend_failed, 0}, notes);
 }
 
-answer_notes backend_gate::notes_of(const run_guard& guard) const
+answer_notes backend_gate::notes_of(const running_request& request) const
 {
     answer_notes notes;
-    notes.retries_unspent = guard.request().budget.left();
-    notes.level = level();
+    notes.retries_unspent = request.budget.left();
+    notes.level = level_for(request.context);
+    notes.refused_below = request.refused_below;
     notes.load = std::clamp(announcement_.load, 0.0, 1.0);
     return notes;
 }
--- a/src/serving/context_codec.cpp
+++ b/src/serving/context_codec.cpp
@@ -157,6 +157,8 @@
     add(fields, "fj-retries-unspent", fmt::format("{}", notes.retries_unspent));
     if (notes.level)
         add(fields, "fj-level", fmt::format("{:.4f}", *notes.level));
+    if (notes.refused_below)
+        add(fields, "fj-refused-below", "1");
     if (notes.load)
         add(fields, "fj-load", fmt::format("{:.3f}", *notes.load));
 }
@@ -180,6 +182,8 @@
             .value_or(0);
     notes.level = taker.number<double>("fj-level", 0, highest_level);
     notes.load = taker.number<double>("fj-load", 0, 1);
+    notes.refused_below =
+        taker.number<std::uint32_t>("fj-refused-below", 0, 1) == 1u;
     if (!taker.bad().empty())
         return fail(errc::malformed, "read answer notes", {}, taker.bad());
     return notes;
--- a/src/serving/dispatcher.cpp
+++ b/src/serving/dispatcher.cpp
@@ -61,28 +61,38 @@
         parts_.place_suspect
             ? parts_.place_suspect(call.context.service, fingerprint)
             : std::nullopt;
+    const routing_request wanted{
+        call.context.service, priority,
+        admission_flow{call.context.account, call.context.invested}};
     std::set<instance_name> tried;
-    refusal last{outcome::not_run, refusal_reason::deadline_expired, 0};
+    call_answer last(
+        refusal{outcome::not_run, refusal_reason::deadline_expired, 0});
+    bool may_have_run = false;
     for (;;) {
         const auto now = clock::now();
         if (now >= call.context.deadline || canceled.is_canceled())
             co_return last;
-        auto choice = parts_.instances->choose(
-            call.context.service, priority, tried, now);
+        auto choice = parts_.instances->choose(wanted, tried, now);
         if (suspect_place && tried.empty())
             choice.instance = suspect_place;
+        if (!choice.instance && tried.empty())
+            co_return choice.why;
         if (!choice.instance)
-            co_return tried.empty() ? choice.why : last;
+            co_return last;
         const auto handed = budget.hand_down(part_for_child(budget));
         auto tried_once =
             co_await try_instance(call, *choice.instance, handed, canceled);
         budget.give_back(handed, tried_once.unspent);
-        if (std::holds_alternative<streamed_response>(tried_once.answer))
-            co_return std::move(tried_once.answer);
-        last = std::get<refusal>(tried_once.answer);
+        last = std::move(tried_once.answer);
+        if (last.response)
+            co_return last;
         const failed_attempt failed{
-            last.what, last.reason, call.context.kind, false,
+            last.why.what, last.why.reason, call.context.kind, false,
             call.body.is_whole};
+        // A later refusal must not say "not run" of an earlier attempt.
+        may_have_run = may_have_run || last.why.what == outcome::unknown;
+        if (may_have_run)
+            last.why.what = outcome::unknown;
         if (suspect_place || !may_retry(failed) || !budget.spend())
             co_return last;
         ++retries_;
@@ -108,24 +118,30 @@
     auto notes = take_notes(answer.headers);
     if (!notes)
         notes = answer_notes{outcome::unknown, refusal_reason::backend_failed};
-    const auto ended = [balance = parts_.instances, instance,
-                        observed = routing_observation{
-                            notes.value().what, notes.value().reason,
-                            clock::now() - started, notes.value().level,
-                            notes.value().load}](bool) {
-        balance->ended(instance, observed, clock::now());
-    };
+    const auto ended =
+        [balance = parts_.instances, instance,
+         observed = routing_observation{
+             notes.value().what, notes.value().reason, clock::now() - started,
+             notes.value().level, notes.value().load,
+             admission_flow{
+                 call.context.account, call.context.invested}}](bool) {
+            balance->ended(instance, observed, clock::now());
+        };
     const auto unspent = notes.value().retries_unspent;
     if (notes.value().what == outcome::answered) {
         answer.body = with_end_hook(std::move(answer.body), ended);
-        co_return attempt{std::move(answer), unspent};
+        attempt answered{std::move(answer), unspent};
+        answered.answer.refused_below = notes.value().refused_below;
+        co_return answered;
     }
     ended(false);
     const refusal why{
         notes.value().what,
         notes.value().reason.value_or(refusal_reason::backend_failed),
         notes.value().retry_after_ms};
-    co_return attempt{why, unspent};
+    attempt refused{why, unspent};
+    refused.answer.refused_below = notes.value().refused_below;
+    co_return refused;
 }
 
 awaitable<streamed_response> dispatcher::send(
--- a/src/serving/egress.cpp
+++ b/src/serving/egress.cpp
@@ -47,7 +47,7 @@
 
 } // namespace
 
-result<backend_announcement> parse_announcement(std::string_view text)
+result<backend_report> parse_announcement(std::string_view text)
 {
     boost::system::error_code problem;
     const auto document = json::parse(text, problem);
@@ -65,7 +65,7 @@
     if (slots == nullptr || !slots->is_int64() || slots->get_int64() < 1 ||
         slots->get_int64() > max_slots)
         return bad_announcement("slots");
-    backend_announcement announcement;
+    backend_report announcement;
     announcement.service = std::string(service->get_string());
     BOOST_OUTCOME_TRY(
         announcement.address, parse_address(address->get_string()));
@@ -116,7 +116,7 @@
     const auto text =
         co_await read_body(std::move(body), max_announcement_bytes);
     const auto announcement = text ? parse_announcement(text.value())
-                                   : result<backend_announcement>(text.error());
+                                   : result<backend_report>(text.error());
     if (!announcement)
         co_return caller_refusal(not_run(refusal_reason::malformed), "");
     parts_.gate->announced(announcement.value());
@@ -138,14 +138,15 @@
         co_return caller_refusal(why, id);
     }
     const auto definition = *endpoint;
-    auto answer =
-        co_await run(definition, std::move(request), std::move(parent));
-    if (const auto* why = std::get_if<refusal>(&answer)) {
-        counters_.count(*why);
-        co_return caller_refusal(*why, id);
-    }
-    counters_.count(std::nullopt);
-    auto response = std::move(std::get<streamed_response>(answer));
+    auto answer = co_await run(definition, std::move(request), parent);
+    const bool is_overloaded =
+        !answer.response && answer.why.reason == refusal_reason::overloaded;
+    if (is_overloaded || answer.refused_below)
+        parent->refused_below = true;
+    counters_.count(answer.failure());
+    if (!answer.response)
+        co_return caller_refusal(answer.why, id);
+    auto response = std::move(*answer.response);
     strip_internal_fields(response.headers);
     response.headers.push_back(
         {"fulmar-outcome", std::string(to_string(outcome::answered))});
--- a/src/serving/entry.cpp
+++ b/src/serving/entry.cpp
@@ -185,6 +185,18 @@
     co_return co_await serve_endpoint(definition, std::move(request));
 }
 
+streamed_response entry::refuse_malformed(int status)
+{
+    auto reason = refusal_reason::malformed;
+    if (status == http_status(refusal_reason::header_too_large))
+        reason = refusal_reason::header_too_large;
+    else if (status == http_status(refusal_reason::body_too_large))
+        reason = refusal_reason::body_too_large;
+    const auto why = not_run(reason);
+    counters_.count(why);
+    return caller_refusal(why, to_string(random_root()));
+}
+
 entry::identified entry::identify(const header_fields& headers) const
 {
     const auto field = find_header(headers, "authorization");
@@ -304,9 +316,11 @@
     const endpoint_definition& endpoint, outgoing_call call,
     cancel_event canceled)
 {
-    const auto priority = priority_of(call.context.rank, call.context.root);
+    const entry_root root{
+        endpoint.name, call.context.account,
+        priority_of(call.context.rank, call.context.root)};
     if (parts_.hooks.refuse_early) {
-        if (const auto why = parts_.hooks.refuse_early(endpoint, priority))
+        if (const auto why = parts_.hooks.refuse_early(root))
             co_return *why;
     }
     retry_budget budget(parts_.extra_attempts);
@@ -316,22 +330,17 @@
                   std::move(call), budget, canceled)
             : co_await parts_.calls->call(std::move(call), budget, canceled);
     if (parts_.hooks.ended) {
-        const auto* why = std::get_if<refusal>(&answer);
-        parts_.hooks.ended(
-            endpoint, priority,
-            why != nullptr ? std::optional(*why) : std::nullopt);
+        parts_.hooks.ended(root, answer.refused_below);
     }
     co_return answer;
 }
 
 streamed_response entry::finish(call_answer answer, const std::string& id)
 {
-    if (const auto* why = std::get_if<refusal>(&answer)) {
-        counters_.count(*why);
-        return caller_refusal(*why, id);
-    }
-    counters_.count(std::nullopt);
-    auto response = std::move(std::get<streamed_response>(answer));
+    counters_.count(answer.failure());
+    if (!answer.response)
+        return caller_refusal(answer.why, id);
+    auto response = std::move(*answer.response);
     strip_internal_fields(response.headers);
     response.headers.push_back(
         {"fulmar-outcome", std::string(to_string(outcome::answered))});
