Enforce rates over the fleet by shares, leases and loans

Cause: the limit must hold over all instances together, without a write for each request. Not measured yet.

--- a/include/fulmarjunction/rates/rate_limiter.hpp
+++ b/include/fulmarjunction/rates/rate_limiter.hpp
@@ -51,6 +51,9 @@
     incarnation life = 0;
 };
 
+/// Instances, shared so that each change of them is stored once.
+using rate_members = std::shared_ptr<const std::vector<rate_member>>;
+
 /// The row `instance/<name>` as observed in the table.
 struct observed_instance
 {
@@ -173,9 +176,7 @@
 {
 public:
     /// @param seed spreads questions over holders; any number
-    rate_limiter(
-        rate_settings settings, rate_member self, std::uint64_t seed,
-        time_point now);
+    rate_limiter(rate_settings settings, rate_member self, std::uint64_t seed);
     ~rate_limiter();
     rate_limiter(rate_limiter&&) noexcept;
     rate_limiter& operator=(rate_limiter&&) noexcept;
@@ -188,7 +189,7 @@
     void remove_plan(const client_account& account, time_point now);
 
     /// Replaces the live, ready and not leaving instances, with this one.
-    void set_members(std::vector<rate_member> members, time_point now);
+    void set_members(rate_members members, time_point now);
 
     /// Gives the row `shares/<account>` as read from the table, the replica
     /// or after a commit. Older versions than one already seen are ignored.
@@ -198,7 +199,8 @@
         const client_account& account, const boost::json::value& value,
         table_version version, time_point now);
 
-    /// Gives the row `instance/<name>` of another instance. The lapse of its
+    /// Gives the row `instance/<name>` of any instance, also of this one; a
+    /// deleted row is given as not present. The lapse of its
     /// lease is counted from the first call with its present state.
     void observe_instance(const observed_instance& seen, time_point now);
 
@@ -231,9 +233,9 @@
         const instance_name& from, const borrow_answer& message,
         time_point now);
 
-    /// The borrow request could not be delivered.
-    rate_effects
-    delivery_failed(const instance_name& to, std::uint64_t id, time_point now);
+    /// The borrow request could not be delivered: another holder is asked.
+    /// Without this call the answer's timeout has the same effect, later.
+    rate_effects delivery_failed(const outgoing_borrow& lost, time_point now);
 
     /// Ends waits that took too long, asks other holders, returns loans.
     rate_effects poll(time_point now);
--- /dev/null
+++ b/src/rates/borrow_messages.cpp
@@ -0,0 +1,96 @@
+#include <fulmarjunction/core/json_fields.hpp>
+#include <fulmarjunction/rates/borrow_messages.hpp>
+
+#include <boost/json/serialize.hpp>
+
+namespace fulmarjunction {
+
+namespace {
+
+constexpr std::size_t longest_name = 256;
+
+/// Longest life and pause in a message: bounds what a peer can ask for.
+constexpr std::int64_t longest_span_ms = 60'000;
+
+std::uint32_t read_tokens(json_fields& fields, std::string_view name)
+{
+    return static_cast<std::uint32_t>(fields.number(name, max_loan_tokens));
+}
+
+} // namespace
+
+std::string to_text(const borrow_request& message)
+{
+    boost::json::array settled;
+    for (const auto& loan : message.settled)
+        settled.push_back({{"id", loan.id}, {"unspent", loan.unspent}});
+    const boost::json::value document{
+        {"id", message.id},
+        {"borrower", message.borrower},
+        {"incarnation", message.life},
+        {"account", message.account},
+        {"needed", message.needed},
+        {"ahead", message.ahead},
+        {"settled", std::move(settled)}};
+    return boost::json::serialize(document);
+}
+
+std::string to_text(const borrow_answer& message)
+{
+    const boost::json::value document{
+        {"id", message.id},
+        {"account", message.account},
+        {"tokens", message.tokens},
+        {"life_ms", message.life.count()},
+        {"left", message.left},
+        {"retry_after_ms", message.retry_after.count()},
+        {"holds_share", message.holds_share}};
+    return boost::json::serialize(document);
+}
+
+result<borrow_request> parse_borrow_request(std::string_view text)
+{
+    const std::string step = "parse borrow request";
+    BOOST_OUTCOME_TRY(
+        const auto document, parse_json(text, max_borrow_message_bytes, step));
+    json_fields fields(document, step);
+    borrow_request message;
+    message.id = fields.number("id");
+    message.borrower = fields.text("borrower", longest_name, 1);
+    message.life = fields.number("incarnation");
+    message.account = fields.text("account", longest_name, 1);
+    message.needed = read_tokens(fields, "needed");
+    message.ahead = read_tokens(fields, "ahead");
+    for (const auto& element : fields.array("settled", max_settled_loans)) {
+        json_fields inner(element, step);
+        settled_loan loan;
+        loan.id = inner.number("id");
+        loan.unspent = read_tokens(inner, "unspent");
+        BOOST_OUTCOME_TRYV(inner.finish());
+        message.settled.push_back(loan);
+    }
+    BOOST_OUTCOME_TRYV(fields.finish());
+    return message;
+}
+
+result<borrow_answer> parse_borrow_answer(std::string_view text)
+{
+    const std::string step = "parse borrow answer";
+    BOOST_OUTCOME_TRY(
+        const auto document, parse_json(text, max_borrow_message_bytes, step));
+    json_fields fields(document, step);
+    borrow_answer message;
+    message.id = fields.number("id");
+    message.account = fields.text("account", longest_name, 1);
+    message.tokens = read_tokens(fields, "tokens");
+    message.life =
+        milliseconds(fields.signed_number("life_ms", longest_span_ms));
+    message.left = read_tokens(fields, "left");
+    message.retry_after =
+        milliseconds(fields.signed_number("retry_after_ms", longest_span_ms));
+    message.holds_share = fields.boolean("holds_share");
+    BOOST_OUTCOME_TRYV(fields.finish());
+    return message;
+}
+
+} // namespace fulmarjunction
--- /dev/null
+++ b/src/rates/ledger_keeper.cpp
@@ -0,0 +1,390 @@
+#include "ledger_keeper.hpp"
+
+#include <algorithm>
+
+namespace fulmarjunction::detail {
+
+namespace {
+
+/// Preferred holders claim one after the other, so that they seldom write
+/// the same row at once.
+constexpr duration claim_spacing = milliseconds(100);
+
+/// How long the next instance in order waits for the preferred one.
+constexpr duration claim_fallback = seconds(5);
+
+/// Instances in order that may claim a share.
+constexpr std::size_t claim_ranks = 3;
+
+/// How long a node keeps a second share that another should hold.
+constexpr duration crowded_for = seconds(5);
+
+/// A change without a result counts as in doubt after this time.
+constexpr duration change_timeout = seconds(10);
+
+/// A share is claimed or raised only by at least this part of its target,
+/// so that a settling plan does not cause many small writes.
+constexpr std::int64_t least_claim_part = 4;
+constexpr std::int64_t least_raise_part = 10;
+
+constexpr std::int64_t one_token = 1000;
+
+const std::string accounts_row = "catalog/accounts";
+const std::string plans_row = "catalog/plans";
+
+bool is_worth_claiming(const share_amount& part, const share_amount& share)
+{
+    return part.burst >= one_token && part.rate > 0 &&
+           part.rate * least_claim_part >= share.rate &&
+           part.burst * least_claim_part >= share.burst;
+}
+
+bool is_worth_raising(
+    const share_amount& from, const share_amount& to,
+    const share_amount& target)
+{
+    if (from == to)
+        return false;
+    if (to == target)
+        return true;
+    const auto gain = to - from;
+    return gain.rate * least_raise_part >= target.rate ||
+           gain.burst * least_raise_part >= target.burst;
+}
+
+void erase_index(share_ledger& ledger, std::uint32_t index)
+{
+    std::erase_if(ledger.shares, [index](const share_entry& entry) {
+        return entry.index == index;
+    });
+}
+
+void put(share_ledger& ledger, const share_entry& entry)
+{
+    erase_index(ledger, entry.index);
+    const auto place = std::find_if(
+        ledger.shares.begin(), ledger.shares.end(),
+        [&](const share_entry& other) { return other.index > entry.index; });
+    ledger.shares.insert(place, entry);
+}
+
+share_entry own_entry(
+    std::uint32_t index, const share_amount& amount, const keeper_view& view)
+{
+    share_entry entry;
+    entry.index = index;
+    entry.holder = view.self.name;
+    entry.life = view.self.life;
+    entry.epoch = view.epoch;
+    entry.lease = view.settings.lease;
+    entry.amount = amount;
+    return entry;
+}
+
+} // namespace
+
+bool ledger_keeper::apply(share_ledger ledger, table_version version)
+{
+    if (version <= version_)
+        return false;
+    ledger_ = std::move(ledger);
+    version_ = version;
+    // A write that needed an older version cannot arrive any more.
+    std::erase_if(bounds_, [version](const bound& lower) {
+        return lower.expected < version;
+    });
+    return true;
+}
+
+bool ledger_keeper::is_own(
+    const share_entry& entry, const keeper_view& view) const
+{
+    return entry.holder == view.self.name && entry.life == view.self.life;
+}
+
+bool ledger_keeper::is_usable(
+    const share_entry& entry, const keeper_view& view) const
+{
+    return is_own(entry, view) && entry.epoch == view.epoch;
+}
+
+bool ledger_keeper::is_kept(
+    const share_entry& entry, const keeper_view& view) const
+{
+    return plan_ && !view.stopping && entry.index < share_count(*plan_);
+}
+
+share_amount ledger_keeper::own_sum(
+    const share_ledger& ledger, const keeper_view& view) const
+{
+    share_amount sum;
+    for (const auto& entry : ledger.shares) {
+        if (is_usable(entry, view) && is_kept(entry, view))
+            sum = sum + lower_of(entry.amount, share_of(*plan_));
+    }
+    return sum;
+}
+
+share_amount ledger_keeper::usable(const keeper_view& view) const
+{
+    auto sum = own_sum(ledger_, view);
+    for (const auto& lower : bounds_)
+        sum = lower_of(sum, own_sum(lower.written, view));
+    return sum;
+}
+
+bool ledger_keeper::holds_any(const rate_member& self) const
+{
+    return std::any_of(
+        ledger_.shares.begin(), ledger_.shares.end(),
+        [&](const share_entry& entry) {
+            return entry.holder == self.name && entry.life == self.life;
+        });
+}
+
+std::size_t ledger_keeper::own_entries(const keeper_view& view) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        ledger_.shares.begin(), ledger_.shares.end(),
+        [&](const share_entry& entry) { return is_usable(entry, view); }));
+}
+
+share_amount ledger_keeper::available(const share_ledger& ledger) const
+{
+    return plan_ ? to_amount(*plan_) - ledger.sum() : share_amount{};
+}
+
+/// Gives up what the plan does not provide for any more.
+void ledger_keeper::draft_lower(draft& change, const keeper_view& view) const
+{
+    const auto left = usable(view);
+    if (view.lent * 1000 > static_cast<double>(left.burst))
+        return;
+    for (const auto& entry : ledger_.shares) {
+        if (!is_own(entry, view))
+            continue;
+        if (!is_kept(entry, view)) {
+            erase_index(change.ledger, entry.index);
+            change.step = ledger_step::release;
+        } else if (!fits(entry.amount, share_of(*plan_))) {
+            auto& lowered = *change.ledger.find(entry.index);
+            lowered.amount = lower_of(entry.amount, share_of(*plan_));
+            if (!change.step)
+                change.step = ledger_step::lower;
+        }
+    }
+}
+
+/// Removes entries of lapsed holders that the plan has no place for.
+void ledger_keeper::draft_removal(
+    draft& change, const keeper_view& view, time_point now) const
+{
+    const auto count = plan_ ? share_count(*plan_) : 0;
+    if (view.order.empty() || view.stopping)
+        return;
+    for (const auto& entry : ledger_.shares) {
+        const auto place = count == 0 ? 0 : entry.index % count;
+        const bool mine =
+            view.order[place % view.order.size()] == view.self.name;
+        if (entry.index < count || is_own(entry, view) || !mine)
+            continue;
+        if (!view.lapses.has_lapsed(entry, now))
+            continue;
+        erase_index(change.ledger, entry.index);
+        change.conditions.push_back(view.lapses.condition(entry.holder));
+        change.step = ledger_step::takeover;
+    }
+}
+
+/// Claims own entries again whose epoch has ended.
+void ledger_keeper::draft_reclaim(draft& change, const keeper_view& view) const
+{
+    for (const auto& entry : ledger_.shares) {
+        if (!is_own(entry, view) || is_usable(entry, view))
+            continue;
+        erase_index(change.ledger, entry.index);
+        const auto part = lower_of(share_of(*plan_), available(change.ledger));
+        change.step = ledger_step::claim;
+        if (is_worth_claiming(part, share_of(*plan_)))
+            put(change.ledger, own_entry(entry.index, part, view));
+    }
+}
+
+bool ledger_keeper::is_turn(
+    std::uint32_t index, const keeper_view& view, time_point now)
+{
+    const auto size = view.order.size();
+    const auto self =
+        std::find(view.order.begin(), view.order.end(), view.self.name);
+    if (self == view.order.end())
+        return false;
+    const auto position = static_cast<std::size_t>(self - view.order.begin());
+    const auto rank = (position + size - index % size) % size;
+    if (rank >= claim_ranks)
+        return false;
+    const auto since = free_since_.try_emplace(index, now).first->second;
+    const auto wait = index * claim_spacing + rank * claim_fallback;
+    return now - since >= wait;
+}
+
+/// Claims free shares, and takes over those of lapsed holders.
+void ledger_keeper::draft_claims(
+    draft& change, const keeper_view& view, time_point now)
+{
+    if (view.order.empty())
+        return;
+    const auto share = share_of(*plan_);
+    for (std::uint32_t index = 0; index != share_count(*plan_); ++index) {
+        const auto* entry = change.ledger.find(index);
+        const bool own = entry != nullptr && is_own(*entry, view);
+        const bool lapsed =
+            entry != nullptr && !own && view.lapses.has_lapsed(*entry, now);
+        if (entry != nullptr && !lapsed) {
+            free_since_.erase(index);
+            continue;
+        }
+        if (!is_turn(index, view, now))
+            continue;
+        auto without = change.ledger;
+        erase_index(without, index);
+        const auto part = lower_of(share, available(without));
+        if (!is_worth_claiming(part, share))
+            continue;
+        if (lapsed)
+            change.conditions.push_back(view.lapses.condition(entry->holder));
+        put(without, own_entry(index, part, view));
+        change.ledger = std::move(without);
+        if (!change.step)
+            change.step = lapsed ? ledger_step::takeover : ledger_step::claim;
+    }
+}
+
+void ledger_keeper::draft_raise(draft& change, const keeper_view& view) const
+{
+    const auto share = share_of(*plan_);
+    for (auto& entry : change.ledger.shares) {
+        if (!is_usable(entry, view))
+            continue;
+        const auto target =
+            lower_of(share, entry.amount + available(change.ledger));
+        if (!is_worth_raising(entry.amount, target, share))
+            continue;
+        entry.amount = target;
+        if (!change.step)
+            change.step = ledger_step::raise;
+    }
+}
+
+/// Releases one of several shares to a preferred holder that has none.
+void ledger_keeper::draft_rebalance(
+    draft& change, const keeper_view& view, time_point now)
+{
+    const auto holds = [&](const instance_name& name) {
+        return std::any_of(
+            ledger_.shares.begin(), ledger_.shares.end(),
+            [&](const share_entry& entry) { return entry.holder == name; });
+    };
+    const share_entry* surplus = nullptr;
+    if (own_entries(view) >= 2 && !view.order.empty()) {
+        for (const auto& entry : ledger_.shares) {
+            const auto& preferred = view.order[entry.index % view.order.size()];
+            if (is_usable(entry, view) && !holds(preferred))
+                surplus = &entry;
+        }
+    }
+    if (surplus == nullptr) {
+        crowded_since_.reset();
+        return;
+    }
+    if (!crowded_since_)
+        crowded_since_ = now;
+    if (now - *crowded_since_ < crowded_for)
+        return;
+    auto released = change.ledger;
+    erase_index(released, surplus->index);
+    const auto left = own_sum(released, view);
+    if (view.lent * 1000 > static_cast<double>(left.burst))
+        return;
+    change.ledger = std::move(released);
+    change.step = ledger_step::release;
+    crowded_since_ = now;
+}
+
+std::optional<ledger_change> ledger_keeper::plan_change(
+    const keeper_view& view, std::uint64_t id, time_point now)
+{
+    if (pending_ && now - pending_->since >= change_timeout)
+        pending_.reset();
+    if (pending_ || now < retry_at_)
+        return std::nullopt;
+    draft change{ledger_, std::nullopt, {}};
+    draft_lower(change, view);
+    draft_removal(change, view, now);
+    const bool raising =
+        !change.step && view.may_claim && !view.stopping && plan_;
+    if (raising) {
+        draft_reclaim(change, view);
+        draft_claims(change, view, now);
+        draft_raise(change, view);
+        if (change.step) {
+            change.conditions.push_back(
+                {accounts_row, plan_->accounts_version});
+            change.conditions.push_back({plans_row, plan_->plans_version});
+        } else {
+            draft_rebalance(change, view, now);
+        }
+    }
+    if (!change.step)
+        return std::nullopt;
+    pending_ = pending_change{id, change.ledger, now};
+    return make_change(std::move(change), view, id);
+}
+
+ledger_change ledger_keeper::make_change(
+    draft change, const keeper_view& view, std::uint64_t id)
+{
+    // From here on the write may take effect at any time, so what it lowers
+    // is applied now. What it raises is applied once the row is seen.
+    const bool known_bound =
+        std::any_of(bounds_.begin(), bounds_.end(), [&](const bound& other) {
+            return other.expected == version_ && other.written == change.ledger;
+        });
+    if (!known_bound)
+        bounds_.push_back({version_, change.ledger});
+    ledger_change made;
+    made.id = id;
+    made.account = view.account;
+    made.step = *change.step;
+    const auto key = share_row_key(view.account);
+    made.transaction.conditions.push_back({key, version_});
+    for (auto& condition : change.conditions) {
+        const auto known = std::any_of(
+            made.transaction.conditions.begin(),
+            made.transaction.conditions.end(), [&](const row_condition& other) {
+                return other.key == condition.key;
+            });
+        if (!known)
+            made.transaction.conditions.push_back(std::move(condition));
+    }
+    made.transaction.writes.push_back({key, to_json(change.ledger)});
+    return made;
+}
+
+void ledger_keeper::change_done(
+    std::uint64_t id, const result<table_version>& committed,
+    std::uint64_t jitter, time_point now)
+{
+    if (!pending_ || pending_->id != id)
+        return;
+    const auto written = std::move(pending_->written);
+    pending_.reset();
+    if (committed) {
+        apply(written, committed.value());
+        return;
+    }
+    const bool conflict = committed.error().code == errc::conflict;
+    const auto spread = milliseconds(jitter % 400);
+    retry_at_ = now + (conflict ? milliseconds(100) : seconds(1)) + spread;
+}
+
+} // namespace fulmarjunction::detail
