--- a/src/rates/borrow_messages.cpp
+++ b/src/rates/borrow_messages.cpp
@@ -1,4 +1,4 @@
-#include <fulmarjunction/core/json_fields.hpp>
+#include <fulmarjunction/core/object_reader.hpp>
 #include <fulmarjunction/rates/borrow_messages.hpp>
 
 #include <boost/json/serialize.hpp>
@@ -12,7 +12,7 @@
 /// Longest life and pause in a message: bounds what a peer can ask for.
 constexpr std::int64_t longest_span_ms = 60'000;
 
-std::uint32_t read_tokens(json_fields& fields, std::string_view name)
+std::uint32_t read_tokens(object_reader& fields, std::string_view name)
 {
     return static_cast<std::uint32_t>(fields.number(name, max_loan_tokens));
 }
@@ -53,7 +53,7 @@
     const std::string step = "parse borrow request";
     BOOST_OUTCOME_TRY(
         const auto document, parse_json(text, max_borrow_message_bytes, step));
-    json_fields fields(document, step);
+    object_reader fields(document, step);
     borrow_request message;
     message.id = fields.number("id");
     message.borrower = fields.text("borrower", longest_name, 1);
@@ -62,7 +62,7 @@
     message.needed = read_tokens(fields, "needed");
     message.ahead = read_tokens(fields, "ahead");
     for (const auto& element : fields.array("settled", max_settled_loans)) {
-        json_fields inner(element, step);
+        object_reader inner(element, step);
         settled_loan loan;
         loan.id = inner.number("id");
         loan.unspent = read_tokens(inner, "unspent");
@@ -78,7 +78,7 @@
     const std::string step = "parse borrow answer";
     BOOST_OUTCOME_TRY(
         const auto document, parse_json(text, max_borrow_message_bytes, step));
-    json_fields fields(document, step);
+    object_reader fields(document, step);
     borrow_answer message;
     message.id = fields.number("id");
     message.account = fields.text("account", longest_name, 1);
--- a/src/rates/share_ledger.cpp
+++ b/src/rates/share_ledger.cpp
@@ -1,4 +1,4 @@
-#include <fulmarjunction/core/json_fields.hpp>
+#include <fulmarjunction/core/object_reader.hpp>
 #include <fulmarjunction/rates/share_ledger.hpp>
 
 #include <algorithm>
@@ -40,7 +40,7 @@
         std::floor(std::min(amount, largest_amount) * thousandths));
 }
 
-share_entry read_entry(json_fields& fields)
+share_entry read_entry(object_reader& fields)
 {
     share_entry entry;
     entry.index =
@@ -138,10 +138,10 @@
 result<share_ledger> parse_share_ledger(const boost::json::value& document)
 {
     const std::string step = "parse share ledger";
-    json_fields fields(document, step);
+    object_reader fields(document, step);
     share_ledger ledger;
     for (const auto& element : fields.array("shares", most_entries)) {
-        json_fields inner(element, step);
+        object_reader inner(element, step);
         const auto entry = read_entry(inner);
         BOOST_OUTCOME_TRYV(inner.finish());
         if (!ledger.shares.empty() && ledger.shares.back().index >= entry.index)
