--- a/include/fulmarjunction/core/json_fields.hpp
+++ b/include/fulmarjunction/core/field_reader.hpp
@@ -26,12 +26,12 @@
 /// Reads the fields of one JSON object. The first failure is kept, and later
 /// reads return fallbacks, so that a caller reads everything and then checks
 /// `finish` once.
-class json_fields
+class field_reader
 {
 public:
     /// @param path prefix of field names in errors, such as `plans[2]`
     /// @param step step of the error that `finish` returns
-    json_fields(
+    field_reader(
         const boost::json::value& document, std::string path, std::string step);
 
     /// Returns a field, or null when it is absent; the field is known then.
--- a/src/catalog/lists.cpp
+++ b/src/catalog/lists.cpp
@@ -1,6 +1,6 @@
 // The operators' lists as JSON documents.
 #include <fulmarjunction/catalog/catalog.hpp>
-#include <fulmarjunction/core/json_fields.hpp>
+#include <fulmarjunction/core/field_reader.hpp>
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
@@ -63,7 +63,7 @@
            closed.find("/../") == std::string::npos;
 }
 
-std::string method_of(json_fields& fields)
+std::string method_of(field_reader& fields)
 {
     auto method = fields.text("method");
     if (!is_method(method))
@@ -71,7 +71,7 @@
     return method;
 }
 
-std::string path_of(json_fields& fields)
+std::string path_of(field_reader& fields)
 {
     auto path = fields.text("path");
     if (!is_endpoint_path(path)) {
@@ -84,7 +84,7 @@
 
 template <class Enum, class Parse>
 Enum choice_of(
-    json_fields& fields, std::string_view name, Enum fallback, Parse parse,
+    field_reader& fields, std::string_view name, Enum fallback, Parse parse,
     std::string_view allowed)
 {
     if (fields.find(name) == nullptr)
@@ -98,7 +98,7 @@
 result<endpoint_definition>
 parse_endpoint(const json::value& document, std::string path)
 {
-    json_fields fields(document, std::move(path), "parse plan list");
+    field_reader fields(document, std::move(path), "parse plan list");
     endpoint_definition endpoint;
     endpoint.name = fields.identifier("name");
     endpoint.service = fields.identifier("service");
@@ -120,7 +120,7 @@
     return endpoint;
 }
 
-std::set<endpoint_name> parse_endpoint_names(json_fields& fields)
+std::set<endpoint_name> parse_endpoint_names(field_reader& fields)
 {
     std::set<endpoint_name> names;
     for (const auto& item : fields.array("endpoints")) {
@@ -137,7 +137,7 @@
 result<plan_definition>
 parse_plan(const json::value& document, std::string path)
 {
-    json_fields fields(document, std::move(path), "parse plan list");
+    field_reader fields(document, std::move(path), "parse plan list");
     plan_definition plan;
     plan.name = fields.identifier("name");
     plan.rate = fields.number("rate", min_rate, max_rate);
@@ -151,7 +151,7 @@
 result<account_definition>
 parse_account(const json::value& document, std::string path)
 {
-    json_fields fields(document, std::move(path), "parse account list");
+    field_reader fields(document, std::move(path), "parse account list");
     account_definition account;
     account.name = fields.identifier("name");
     account.plan = fields.identifier("plan");
@@ -162,7 +162,7 @@
 // Reads each item of an array; names must differ.
 template <class Item, class Parse>
 std::vector<Item>
-parse_items(json_fields& fields, std::string_view name, Parse parse)
+parse_items(field_reader& fields, std::string_view name, Parse parse)
 {
     std::vector<Item> items;
     std::set<std::string> names;
@@ -188,7 +188,7 @@
 }
 
 void refuse_repeated_paths(
-    json_fields& fields, const std::vector<endpoint_definition>& endpoints)
+    field_reader& fields, const std::vector<endpoint_definition>& endpoints)
 {
     std::set<std::pair<std::string_view, std::string_view>> seen;
     for (std::size_t i = 0; i != endpoints.size(); ++i) {
@@ -259,7 +259,7 @@
 
 result<plan_list> parse_plan_list(const json::value& document)
 {
-    json_fields fields(document, {}, "parse plan list");
+    field_reader fields(document, {}, "parse plan list");
     plan_list list;
     list.plans = parse_items<plan_definition>(fields, "plans", parse_plan);
     list.endpoints =
@@ -271,7 +271,7 @@
 
 result<account_list> parse_account_list(const json::value& document)
 {
-    json_fields fields(document, {}, "parse account list");
+    field_reader fields(document, {}, "parse account list");
     account_list list;
     list.accounts =
         parse_items<account_definition>(fields, "accounts", parse_account);
@@ -281,7 +281,7 @@
 
 result<key_record> parse_key_record(const json::value& document)
 {
-    json_fields fields(document, {}, "parse key record");
+    field_reader fields(document, {}, "parse key record");
     key_record record;
     record.id = fields.identifier("id");
     record.account = fields.identifier("account");
--- a/src/core/json_fields.cpp
+++ b/src/core/field_reader.cpp
@@ -1,4 +1,4 @@
-#include <fulmarjunction/core/json_fields.hpp>
+#include <fulmarjunction/core/field_reader.hpp>
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
@@ -50,7 +50,7 @@
     return text;
 }
 
-json_fields::json_fields(
+field_reader::field_reader(
     const boost::json::value& document, std::string path, std::string step)
     : fields_(document.if_object()), path_(std::move(path)),
       step_(std::move(step))
@@ -62,19 +62,19 @@
     }
 }
 
-void json_fields::set_failure(std::string detail)
+void field_reader::set_failure(std::string detail)
 {
     if (!failure_)
         failure_ = std::move(detail);
 }
 
-std::string json_fields::path_of(std::string_view name) const
+std::string field_reader::path_of(std::string_view name) const
 {
     return path_.empty() ? std::string(name)
                          : fmt::format("{}.{}", path_, name);
 }
 
-void json_fields::refuse(std::string_view name, std::string_view allowed)
+void field_reader::refuse(std::string_view name, std::string_view allowed)
 {
     const auto* value =
         fields_ == nullptr ? nullptr : fields_->if_contains(name);
@@ -86,18 +86,18 @@
                   shown_value(*value), allowed));
 }
 
-void json_fields::refuse(const error& failure)
+void field_reader::refuse(const error& failure)
 {
     set_failure(failure.detail);
 }
 
-const boost::json::value* json_fields::find(std::string_view name)
+const boost::json::value* field_reader::find(std::string_view name)
 {
     known_.emplace(name);
     return fields_ == nullptr ? nullptr : fields_->if_contains(name);
 }
 
-std::string json_fields::text(std::string_view name)
+std::string field_reader::text(std::string_view name)
 {
     const auto* value = find(name);
     if (value != nullptr && value->is_string())
@@ -106,7 +106,7 @@
     return {};
 }
 
-std::string json_fields::identifier(std::string_view name)
+std::string field_reader::identifier(std::string_view name)
 {
     const auto* value = find(name);
     if (value != nullptr && value->is_string() &&
@@ -116,7 +116,7 @@
     return {};
 }
 
-double json_fields::number(
+double field_reader::number(
     std::string_view name, double min, double max,
     std::optional<double> fallback)
 {
@@ -132,7 +132,7 @@
     return min;
 }
 
-std::int64_t json_fields::integer(
+std::int64_t field_reader::integer(
     std::string_view name, std::int64_t min, std::int64_t max,
     std::optional<std::int64_t> fallback)
 {
@@ -148,7 +148,7 @@
     return min;
 }
 
-std::uint64_t json_fields::version(std::string_view name)
+std::uint64_t field_reader::version(std::string_view name)
 {
     const auto* value = find(name);
     if (value != nullptr && value->is_uint64())
@@ -159,7 +159,7 @@
     return 0;
 }
 
-bool json_fields::boolean(std::string_view name, bool fallback)
+bool field_reader::boolean(std::string_view name, bool fallback)
 {
     const auto* value = find(name);
     if (value == nullptr)
@@ -170,7 +170,7 @@
     return fallback;
 }
 
-const boost::json::array& json_fields::array(std::string_view name)
+const boost::json::array& field_reader::array(std::string_view name)
 {
     const auto* value = find(name);
     if (value != nullptr && value->is_array())
@@ -179,7 +179,7 @@
     return empty_array();
 }
 
-result<void> json_fields::finish()
+result<void> field_reader::finish()
 {
     if (fields_ != nullptr && !ignore_unknown_) {
         for (const auto& field : *fields_) {
--- a/src/platform/table_json.cpp
+++ b/src/platform/table_json.cpp
@@ -1,4 +1,4 @@
-#include <fulmarjunction/core/json_fields.hpp>
+#include <fulmarjunction/core/field_reader.hpp>
 #include <fulmarjunction/platform/table_json.hpp>
 
 #include <boost/json/array.hpp>
@@ -14,7 +14,7 @@
 result<row_condition>
 parse_condition(const json::value& document, std::string path)
 {
-    json_fields fields(document, std::move(path), "parse transaction");
+    field_reader fields(document, std::move(path), "parse transaction");
     row_condition condition;
     condition.key = fields.text("key");
     condition.expected = fields.version("expected");
@@ -24,7 +24,7 @@
 
 result<row_write> parse_write(const json::value& document, std::string path)
 {
-    json_fields fields(document, std::move(path), "parse transaction");
+    field_reader fields(document, std::move(path), "parse transaction");
     row_write write;
     write.key = fields.text("key");
     const bool deletes = fields.boolean("delete", false);
@@ -39,7 +39,7 @@
 
 template <class Item, class Parse>
 std::vector<Item>
-parse_items(json_fields& fields, std::string_view name, Parse parse)
+parse_items(field_reader& fields, std::string_view name, Parse parse)
 {
     std::vector<Item> items;
     for (const auto& value : fields.array(name)) {
@@ -109,7 +109,7 @@
 
 result<table_row> parse_table_row(const json::value& document)
 {
-    json_fields fields(document, {}, "parse row");
+    field_reader fields(document, {}, "parse row");
     fields.ignore_unknown();
     table_row row;
     row.key = fields.text("key");
@@ -125,7 +125,7 @@
 
 result<row_list> parse_row_list(const json::value& document)
 {
-    json_fields fields(document, {}, "parse row list");
+    field_reader fields(document, {}, "parse row list");
     fields.ignore_unknown();
     row_list list;
     list.complete_to = fields.version("complete_to");
@@ -143,7 +143,7 @@
 
 result<table_transaction> parse_table_transaction(const json::value& document)
 {
-    json_fields fields(document, {}, "parse transaction");
+    field_reader fields(document, {}, "parse transaction");
     table_transaction change;
     change.conditions =
         parse_items<row_condition>(fields, "conditions", parse_condition);
--- a/src/settings/definitions.cpp
+++ b/src/settings/definitions.cpp
@@ -2,7 +2,7 @@
 
 #include <fulmarjunction/core/address.hpp>
 #include <fulmarjunction/core/enum_table.hpp>
-#include <fulmarjunction/core/json_fields.hpp>
+#include <fulmarjunction/core/field_reader.hpp>
 
 #include <fmt/format.h>
 
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -2,7 +2,7 @@
 #include "source_fields.hpp"
 
 #include <fulmarjunction/core/address.hpp>
-#include <fulmarjunction/core/json_fields.hpp>
+#include <fulmarjunction/core/field_reader.hpp>
 #include <fulmarjunction/settings/settings.hpp>
 
 #include <boost/json/stream_parser.hpp>
