--- /dev/null
+++ b/src/http/byte_stream.cpp
@@ -0,0 +1,96 @@
+#include <http/byte_stream.hpp>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <utility>
+
+namespace fulmarjunction::detail {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+byte_stream::byte_stream(
+    tcp::socket socket, std::shared_ptr<asio::ssl::context> tls)
+    : tls_(std::move(tls)),
+      socket_(std::make_unique<tcp::socket>(std::move(socket)))
+{
+    boost::system::error_code ignored;
+    socket_->set_option(tcp::no_delay(true), ignored);
+    if (tls_)
+        tls_stream_ = std::make_unique<tls_stream>(*socket_, *tls_);
+}
+
+asio::awaitable<boost::system::error_code>
+byte_stream::handshake(asio::ssl::stream_base::handshake_type side)
+{
+    boost::system::error_code failure;
+    if (tls_stream_) {
+        co_await tls_stream_->async_handshake(
+            side, asio::redirect_error(asio::use_awaitable, failure));
+    }
+    co_return failure;
+}
+
+asio::awaitable<io_result> byte_stream::read_some(asio::mutable_buffer buffer)
+{
+    io_result outcome;
+    auto token = asio::redirect_error(asio::use_awaitable, outcome.failure);
+    if (tls_stream_)
+        outcome.size = co_await tls_stream_->async_read_some(buffer, token);
+    else
+        outcome.size = co_await socket_->async_read_some(buffer, token);
+    co_return outcome;
+}
+
+asio::awaitable<io_result> byte_stream::write_some(asio::const_buffer buffer)
+{
+    io_result outcome;
+    auto token = asio::redirect_error(asio::use_awaitable, outcome.failure);
+    if (tls_stream_)
+        outcome.size = co_await tls_stream_->async_write_some(buffer, token);
+    else
+        outcome.size = co_await socket_->async_write_some(buffer, token);
+    co_return outcome;
+}
+
+asio::awaitable<void> byte_stream::shutdown_send()
+{
+    boost::system::error_code ignored;
+    if (tls_stream_) {
+        co_await tls_stream_->async_shutdown(
+            asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    socket_->shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+void byte_stream::close()
+{
+    boost::system::error_code ignored;
+    socket_->close(ignored);
+}
+
+void byte_stream::abort()
+{
+    boost::system::error_code ignored;
+    socket_->set_option(asio::socket_base::linger(true, 0), ignored);
+    socket_->close(ignored);
+}
+
+bool byte_stream::is_peer_gone()
+{
+    if (!socket_->is_open())
+        return true;
+    tcp_info info{};
+    socklen_t size = sizeof(info);
+    if (getsockopt(
+            socket_->native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
+        return true;
+    return info.tcpi_state != TCP_ESTABLISHED;
+}
+
+} // namespace fulmarjunction::detail
--- /dev/null
+++ b/src/http/byte_stream.hpp
@@ -0,0 +1,67 @@
+/// @file
+/// A TCP connection, optionally under TLS.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ssl/context.hpp>
+#include <boost/asio/ssl/stream.hpp>
+#include <boost/system/error_code.hpp>
+
+#include <cstddef>
+#include <memory>
+
+namespace fulmarjunction::detail {
+
+/// Result of one read or write.
+struct io_result
+{
+    boost::system::error_code failure;
+    std::size_t size = 0;
+};
+
+/// Reads and writes bytes over TCP or TLS. One read and one write may be in
+/// progress at the same time.
+class byte_stream
+{
+public:
+    /// @param tls context for TLS; null for plain TCP
+    explicit byte_stream(
+        boost::asio::ip::tcp::socket socket,
+        std::shared_ptr<boost::asio::ssl::context> tls = nullptr);
+
+    /// Runs the TLS handshake; does nothing for plain TCP.
+    boost::asio::awaitable<boost::system::error_code>
+    handshake(boost::asio::ssl::stream_base::handshake_type side);
+
+    boost::asio::awaitable<io_result>
+    read_some(boost::asio::mutable_buffer buffer);
+    boost::asio::awaitable<io_result>
+    write_some(boost::asio::const_buffer buffer);
+
+    /// Tells the peer that no more bytes follow (close_notify under TLS).
+    boost::asio::awaitable<void> shutdown_send();
+
+    /// Closes the socket; pending operations fail.
+    void close();
+
+    /// Closes with a TCP reset, so that the peer cannot take what it has
+    /// received for a whole message.
+    void abort();
+
+    /// Whether the kernel knows that the peer has closed or reset the
+    /// connection, without reading.
+    bool is_peer_gone();
+
+    boost::asio::ip::tcp::socket& socket() { return *socket_; }
+
+private:
+    using tls_stream = boost::asio::ssl::stream<boost::asio::ip::tcp::socket&>;
+
+    std::shared_ptr<boost::asio::ssl::context> tls_;
+    std::unique_ptr<boost::asio::ip::tcp::socket> socket_;
+    std::unique_ptr<tls_stream> tls_stream_;
+};
+
+} // namespace fulmarjunction::detail
--- /dev/null
+++ b/src/http/head.hpp
@@ -0,0 +1,75 @@
+/// @file
+/// Strict checks of HTTP/1.1 heads, and the heads that are sent.
+#pragma once
+
+#include <fulmarjunction/core/message.hpp>
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace fulmarjunction::detail {
+
+enum class message_kind
+{
+    request,
+    response
+};
+
+enum class head_verdict
+{
+    incomplete,
+    acceptable,
+    malformed,
+    too_large
+};
+
+/// What is known of the head at the start of received bytes.
+struct head_check
+{
+    head_verdict verdict = head_verdict::incomplete;
+    /// Size of the head with its empty line; set when acceptable.
+    std::size_t size = 0;
+};
+
+/// Checks the head at the start of `bytes`. Stricter than the parser behind
+/// it: any shape that two parsers could frame differently is malformed
+/// (bare CR or LF, folded fields, space before the colon, more than one
+/// Content-Length or Transfer-Encoding, both of them, other codings than
+/// chunked, a request without exactly one Host field).
+/// @param limit largest acceptable size of the head in bytes
+head_check
+check_head(std::string_view bytes, std::size_t limit, message_kind kind);
+
+/// Whether `text` is a token by RFC 9110, such as a method or a field name.
+bool is_token(std::string_view text);
+
+/// Whether a field with this name belongs to one connection and is never
+/// passed on, or is derived from the body when a message is sent.
+bool is_connection_field(std::string_view name);
+
+/// Removes the fields that belong to one connection, and those that the
+/// field `connection` names.
+void remove_connection_fields(header_fields& fields);
+
+/// How the body of a message is framed.
+enum class body_framing
+{
+    none,
+    content_length,
+    chunked,
+    until_close
+};
+
+/// Returns the text of a request's head, or nothing when the request holds
+/// bytes that must not go into a head.
+std::optional<std::string> format_request_head(
+    const streamed_request& request, std::string_view default_host,
+    body_framing framing);
+
+/// Returns the text of a response's head, or nothing as above.
+std::optional<std::string> format_response_head(
+    const streamed_response& response, body_framing framing, bool keep_alive);
+
+} // namespace fulmarjunction::detail
