--- a/src/daemon/node_state.cpp
+++ b/src/daemon/node_state.cpp
@@ -98,7 +98,7 @@
       row(self, now, make_random()),
       rates(
           to_rates(given), rate_member{self.name, self.zone, self.life},
-          make_random()(), now),
+          make_random()()),
       issuer(
           to_issuer(given), self.name, self.life,
           derive_key_secret(secrets.peer), now),
@@ -204,7 +204,9 @@
         if (found)
             live.push_back({name, found->record.zone, found->record.life});
     }
-    rates.set_members(std::move(live), now);
+    rates.set_members(
+        std::make_shared<const std::vector<rate_member>>(std::move(live)),
+        now);
     evidence.set_zones(members.zones());
 }
 
--- a/src/daemon/token_gate.cpp
+++ b/src/daemon/token_gate.cpp
@@ -78,18 +78,17 @@
 
 awaitable<rate_effects> token_gate::exchange(outgoing_borrow borrow)
 {
-    const auto id = borrow.message.id;
     const auto to = state_.locate(borrow.to);
     if (!to)
-        co_return state_.rates.delivery_failed(borrow.to, id, clock::now());
+        co_return state_.rates.delivery_failed(borrow, clock::now());
     const auto text = co_await send_control(
         peers_, *to, "borrow", to_text(borrow.message),
         clock::now() + borrow_timeout);
     if (!text)
-        co_return state_.rates.delivery_failed(borrow.to, id, clock::now());
+        co_return state_.rates.delivery_failed(borrow, clock::now());
     const auto answer = parse_borrow_answer(text.value());
     if (!answer)
-        co_return state_.rates.delivery_failed(borrow.to, id, clock::now());
+        co_return state_.rates.delivery_failed(borrow, clock::now());
     co_return state_.rates.receive(borrow.to, answer.value(), clock::now());
 }
 
