Fix: keep-alive connections waited for a request after Connection: close

Cause: g++ 12 evaluates co_await on the right of && in a loop condition even when the left side is false, so the session waited for the keep-alive timeout before it closed. Change: each wait is its own statement.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -220,11 +220,19 @@
 http_server::impl::serve(std::shared_ptr<impl> self, session_ptr current)
 {
     auto& link = *current->link;
-    if (self->tls_ && !co_await self->start_tls(current->link))
-        co_return;
+    if (self->tls_) {
+        const bool started = co_await self->start_tls(current->link);
+        if (!started)
+            co_return;
+    }
     link.start();
+    // g++ 12 evaluates `co_await` on the right of `&&` in a loop condition
+    // even when the left side is false, so each wait has its own statement.
     bool keep = true;
-    while (keep && co_await self->wait_for_request(*current)) {
+    while (keep) {
+        keep = co_await self->wait_for_request(*current);
+        if (!keep)
+            break;
         current->idle = false;
         keep = co_await self->serve_one(current);
         current->idle = true;
