Add fulmarctl: operators' changes, keys, audit, status, drain, shares

Each change is one transaction of head row, changed row and audit row. After an unclear answer the tool reads the audit row that its change would have written: its own id means applied, another id means that it never can be, and an absent row allows sending again under the same conditions. A change of another row in between is no conflict.

--- /dev/null
+++ b/include/fulmarjunction/ctl/change.hpp
@@ -0,0 +1,98 @@
+/// @file
+/// Operators' changes: one transaction of head, changed row and audit row.
+#pragma once
+
+#include <fulmarjunction/core/error.hpp>
+#include <fulmarjunction/platform/table_core.hpp>
+#include <fulmarjunction/platform/table_service.hpp>
+
+#include <boost/json/value.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace fulmarjunction {
+
+/// Value of an `audit/<sequence>` row; it is written once and never changed.
+struct audit_record
+{
+    std::string change_id;
+    std::string operator_name;
+    /// Milliseconds since 1970 by the clock of the operator's machine.
+    std::int64_t time_ms = 0;
+    /// Command, such as "accounts apply".
+    std::string action;
+    /// Key of the changed row.
+    std::string row_key;
+    /// What changed, for people.
+    std::string summary;
+};
+
+/// Value of the `head` row.
+struct head_record
+{
+    /// Sequence of the last change; 0 before the first.
+    std::uint64_t sequence = 0;
+    /// Ids of the last changes, the newest at the end.
+    std::vector<std::string> last_changes;
+};
+
+/// Returns `audit/` and 20 digits, so that keys sort by sequence.
+std::string audit_row_key(std::uint64_t sequence);
+
+result<audit_record> parse_audit_record(const boost::json::value& document);
+result<head_record> parse_head_record(const boost::json::value& document);
+boost::json::value to_json(const audit_record& record);
+boost::json::value to_json(const head_record& record);
+
+/// One change that an operator wants.
+struct operator_change
+{
+    audit_record audit;
+    /// Version of the changed row that the operator saw; 0 for none.
+    table_version seen = 0;
+    /// New value; empty deletes the row.
+    std::optional<boost::json::value> value;
+    /// Other rows that the change was checked against.
+    std::vector<row_condition> checked_against;
+};
+
+/// What became of a change.
+enum class change_outcome
+{
+    applied,
+    /// An earlier run with the same change id had applied it.
+    already_applied,
+    /// Another operator's change came first; nothing was written.
+    conflict,
+    /// Nothing was written.
+    failed,
+    /// The store could not be asked whether it was written.
+    unknown
+};
+std::string_view to_string(change_outcome value);
+
+/// Outcome of a change, with what a person needs to know of it.
+struct change_report
+{
+    change_outcome outcome = change_outcome::failed;
+    std::uint64_t sequence = 0;
+    /// Version that nodes must reach for the change to be in force.
+    table_version version = 0;
+    std::string detail;
+};
+
+/// Applies a change. After an unclear answer it looks for the change id in
+/// the audit row that the change would have written, and sends again only
+/// while that row is absent and the head unchanged. A change of another row
+/// in between is no conflict: the change is then placed after it.
+awaitable<change_report>
+apply_change(table_service& table, operator_change change, sleep_hook sleep);
+
+/// Returns the newest audit rows, the newest first.
+awaitable<result<std::vector<table_row>>>
+read_audit(table_service& table, std::size_t limit);
+
+} // namespace fulmarjunction
--- /dev/null
+++ b/include/fulmarjunction/ctl/commands.hpp
@@ -0,0 +1,95 @@
+/// @file
+/// The commands of `fulmarctl`.
+#pragma once
+
+#include <fulmarjunction/platform/bounded_table_service.hpp>
+#include <fulmarjunction/platform/table_service.hpp>
+
+#include <boost/json/object.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace fulmarjunction {
+
+/// Exit statuses of `fulmarctl`.
+enum class exit_status
+{
+    ok = 0,
+    failed = 1,
+    usage = 2,
+    /// Another operator's change came first.
+    conflict = 3,
+    /// Whether the change took effect could not be found out.
+    outcome_unknown = 4,
+    /// The change is applied, and not all nodes have confirmed it in time.
+    not_confirmed = 5
+};
+
+/// Options of the command line.
+struct ctl_options
+{
+    std::string pepper_file;
+    std::string operator_name;
+    std::string change_id;
+    /// Operators' listeners; found in the instance rows when empty.
+    std::vector<std::string> nodes;
+    std::string node;
+    std::size_t limit = 20;
+    seconds wait{0};
+};
+
+/// What commands act on; tests give their own.
+struct ctl_environment
+{
+    ctl_options options;
+    table_service table;
+    platform_hooks hooks;
+    /// Returns milliseconds since 1970.
+    std::function<std::int64_t()> wall_time_ms;
+    /// Returns the content of a file.
+    std::function<result<std::string>(const std::string& path)> read_file;
+    /// Sends a request to an operators' listener and returns its JSON.
+    std::function<awaitable<result<boost::json::value>>(
+        std::string address, std::string method, std::string target)>
+        ask_node;
+};
+
+/// What a command prints: lines, or the document with `--json`.
+struct command_output
+{
+    exit_status status = exit_status::ok;
+    std::vector<std::string> lines;
+    boost::json::object document;
+};
+
+/// Describes one command.
+struct command_definition
+{
+    /// Words that select it, such as "accounts apply".
+    std::string name;
+    /// Names of its arguments, such as "FILE".
+    std::vector<std::string> arguments;
+    std::string help;
+    /// Whether it asks the platform; `drain` works without it.
+    bool needs_table = true;
+    std::function<awaitable<command_output>(
+        ctl_environment& environment, std::vector<std::string> arguments)>
+        run;
+};
+
+/// Returns all commands in the order of the help page.
+const std::vector<command_definition>& command_definitions();
+
+/// Returns the command that the words select, or null. A missing or extra
+/// argument selects it too; the caller compares the number.
+const command_definition* find_command(const std::vector<std::string>& words);
+
+/// Runs the command that the words select.
+awaitable<command_output>
+run_command(ctl_environment& environment, std::vector<std::string> words);
+
+} // namespace fulmarjunction
