--- a/include/fulmarjunction/replica/replica.hpp
+++ b/include/fulmarjunction/replica/replica.hpp
@@ -118,6 +118,8 @@
         table_version end = 0;
         table_version head = 0;
         bool snapshot = false;
+        /// Rows that were received earlier and staged belong to it.
+        const partial_row* follows = nullptr;
     };
 
     struct held_row
@@ -131,6 +133,7 @@
         const row_fragment* fragment);
     table_version held_end() const;
     staging& open_staging(const version_range& part);
+    bool continues_staged(const version_range& part) const;
     void raise_staged_end(table_version end);
     void stage(table_row row);
     bool stage_fragment(const row_fragment& fragment);
--- a/include/fulmarjunction/replica/rows_messages.hpp
+++ b/include/fulmarjunction/replica/rows_messages.hpp
@@ -61,6 +61,9 @@
     table_version head = 0;
     /// The rows are part of a snapshot: rows that it lacks were deleted.
     bool snapshot = false;
+    /// The rows follow this place, which the request named: the receiver
+    /// must still hold what came before it.
+    std::optional<partial_row> follows;
     std::vector<table_row> rows;
     std::optional<row_fragment> fragment;
 };
--- a/src/replica/replica.cpp
+++ b/src/replica/replica.cpp
@@ -119,15 +119,17 @@
 {
     const auto end = std::max(after, list.complete_to);
     return apply_piece(
-        {after, end, std::max(end, list.head), false}, list.rows, nullptr);
+        {after, end, std::max(end, list.head), false, nullptr}, list.rows,
+        nullptr);
 }
 
 replica_update replica::apply_delta(const rows_delta& delta)
 {
     const auto* fragment = delta.fragment ? &*delta.fragment : nullptr;
+    const auto* follows = delta.follows ? &*delta.follows : nullptr;
     return apply_piece(
-        {delta.base, delta.end, delta.head, delta.snapshot}, delta.rows,
-        fragment);
+        {delta.base, delta.end, delta.head, delta.snapshot, follows},
+        delta.rows, fragment);
 }
 
 replica_update replica::apply_piece(
@@ -137,7 +139,10 @@
     if (part.head <= version_)
         return {};
     const auto before = version_;
-    const bool whole = part.end >= part.head && fragment == nullptr;
+    if (part.follows != nullptr && !continues_staged(part))
+        return {false, pull_request()};
+    const bool whole = part.end >= part.head && fragment == nullptr &&
+        part.follows == nullptr;
     if (whole && !part.snapshot && part.base <= version_) {
         apply_complete(part, rows);
         return {version_ > before, std::nullopt};
@@ -180,6 +185,14 @@
     return *staged_;
 }
 
+bool replica::continues_staged(const version_range& part) const
+{
+    return staged_ && staged_->partial &&
+        staged_->partial->key == part.follows->key &&
+        staged_->partial->version == part.follows->version &&
+        staged_->partial->offset == part.follows->offset;
+}
+
 void replica::raise_staged_end(table_version end)
 {
     staged_->end = end;
@@ -365,8 +378,10 @@
     }
 
     auto place = order_.lower_bound({piece.base + 1, std::string()});
-    if (partial != nullptr && partial->version > piece.base)
+    if (partial != nullptr && partial->version > piece.base) {
         place = order_.lower_bound({partial->version, partial->key});
+        piece.follows = *partial;
+    }
     piece_builder builder(piece, settings_);
     std::size_t rows_at_end = 0;
     for (; place != order_.end(); ++place) {
@@ -401,10 +416,10 @@
 
 rows_delta replica::push(table_version known) const
 {
-    const rows_delta announcement{version_, version_, version_, false, {}, {}};
+    const rows_delta announcement{version_, version_, version_, false, {}, {}, {}};
     if (known < deletions_from_ || known >= version_)
         return announcement;
-    rows_delta delta{known, version_, version_, false, {}, {}};
+    rows_delta delta{known, version_, version_, false, {}, {}, {}};
     std::size_t bytes = 0;
     auto place = order_.lower_bound({known + 1, std::string()});
     for (; place != order_.end(); ++place) {
--- a/src/replica/rows_messages.cpp
+++ b/src/replica/rows_messages.cpp
@@ -104,6 +104,9 @@
     delta.end = fields.number("end");
     delta.head = fields.number_or("head", delta.end);
     delta.snapshot = fields.flag_or("snapshot", false);
+    if (const auto* follows = fields.find("follows")) {
+        BOOST_OUTCOME_TRY(delta.follows, parse_partial(*follows));
+    }
     if (const auto* rows = fields.array_or_null("rows")) {
         for (const auto& row : *rows) {
             BOOST_OUTCOME_TRY(auto parsed, parse_row(row));
@@ -137,6 +140,8 @@
         fields["head"] = message.head;
     if (message.snapshot)
         fields["snapshot"] = true;
+    if (message.follows)
+        fields["follows"] = to_json(*message.follows);
     if (!message.rows.empty()) {
         json::array rows;
         for (const auto& row : message.rows)
