--- a/include/fulmarjunction/membership/membership.hpp
+++ b/include/fulmarjunction/membership/membership.hpp
@@ -195,10 +195,12 @@
     /// Names of the services that have instances.
     std::vector<service_name> services() const;
 
-    /// Live instances, this node included: neither down nor leaving.
-    std::vector<instance_name> live() const;
+    /// Live instances, this node included: neither down nor leaving. Valid
+    /// until the next call that is not const.
+    const std::vector<instance_name>& live() const;
     /// Live instances of one availability zone, for `reader_election`.
-    std::vector<instance_name> live_in(const availability_zone& zone) const;
+    const std::vector<instance_name>&
+    live_in(const availability_zone& zone) const;
 
     /// Availability zones of all instances that exist, this node's included:
     /// to `freshness::set_zones`.
--- a/src/membership/fleet_simulation.hpp
+++ b/src/membership/fleet_simulation.hpp
@@ -50,8 +50,8 @@
         row_list list{{}, head_, head_};
         auto place = changes_.upper_bound(after);
         for (; place != changes_.end(); ++place) {
-            const bool new_version = list.rows.empty() ||
-                list.rows.back().version != place->first;
+            const bool new_version =
+                list.rows.empty() || list.rows.back().version != place->first;
             if (new_version && list.rows.size() >= limit) {
                 list.complete_to = place->first - 1;
                 break;
@@ -137,6 +137,7 @@
     lapse_watch lapses;
     std::map<instance_name, table_version> peer_versions;
     bool pulling = false;
+    bool reader = false;
     bool backend_up = true;
     bool backend_draining = false;
     time_point next_second;
@@ -196,10 +197,10 @@
         one.peer_versions.clear();
         auto record = one.record;
         record.life = 1'700'000'000'000'000ULL +
-            static_cast<std::uint64_t>(
-                std::chrono::duration_cast<std::chrono::microseconds>(
-                    now_.time_since_epoch())
-                    .count());
+                      static_cast<std::uint64_t>(
+                          std::chrono::duration_cast<std::chrono::microseconds>(
+                              now_.time_since_epoch())
+                              .count());
         const auto service = std::exchange(record.service, {});
         one.rows = std::make_unique<replica>();
         one.fresh = std::make_unique<freshness>(fresh_settings);
@@ -216,8 +217,9 @@
             raw->members->apply_row(row, now_);
             raw->lapses.apply_row(row, now_);
         });
-        for (std::size_t i = 0; i != std::min<std::size_t>(3, nodes.size());
-             ++i)
+        constexpr std::size_t seeds = 12;
+        const auto step = std::max<std::size_t>(1, nodes.size() / seeds);
+        for (std::size_t i = 0; i < nodes.size(); i += step)
             one.members->add_seed(nodes[i]->record.peer_address);
         run_ticks(one);
     }
@@ -297,14 +299,14 @@
         bool operator<(const event& other) const
         {
             return std::pair(at, sequence) >
-                std::pair(other.at, other.sequence);
+                   std::pair(other.at, other.sequence);
         }
     };
 
     bool happens(double chance)
     {
         return chance > 0 &&
-            std::uniform_real_distribution<>(0, 1)(random_) < chance;
+               std::uniform_real_distribution<>(0, 1)(random_) < chance;
     }
 
     duration link_delay()
@@ -313,8 +315,8 @@
         if (spread == 0)
             return faults.min_delay;
         return faults.min_delay +
-            duration(static_cast<duration::rep>(
-                random_() % static_cast<std::uint64_t>(spread)));
+               duration(static_cast<duration::rep>(
+                   random_() % static_cast<std::uint64_t>(spread)));
     }
 
     // Runs an action at a node unless it was stopped; later if it is paused.
@@ -328,7 +330,8 @@
     }
 
     void deliver(
-        node& one, std::uint64_t generation, const std::function<void()>& action)
+        node& one, std::uint64_t generation,
+        const std::function<void()>& action)
     {
         if (!one.up || one.generation != generation)
             return;
@@ -382,11 +385,12 @@
     void every_second(node& one)
     {
         one.fresh->set_zones(one.members->zones());
+        one.reader = reader_election{}.is_reader(
+            one.record.name, one.members->live_in(one.record.zone));
         if (each_second)
             each_second(one);
         const auto live = one.members->live();
-        for (auto& deletion :
-             one.lapses.due(now_, one.record.name, live)) {
+        for (auto& deletion : one.lapses.due(now_, one.record.name, live)) {
             if (can_reach_store(one))
                 (void)table.commit(deletion);
         }
@@ -410,11 +414,10 @@
             std::max<std::uint64_t>(from.sent.largest_probe, text.size());
         const auto sent = now_;
         auto ended = std::make_shared<bool>(false);
-        at_node(
-            from, settings.probe_interval, [this, &from, order, ended] {
-                if (!std::exchange(*ended, true))
-                    from.members->probe_failed(order.to, now_);
-            });
+        at_node(from, settings.probe_interval, [this, &from, order, ended] {
+            if (!std::exchange(*ended, true))
+                from.members->probe_failed(order.to, now_);
+        });
         auto* to = find(order.address);
         if (to == nullptr)
             return;
@@ -494,8 +497,8 @@
         });
     }
 
-    void take_rows(
-        node& one, const instance_name& from, const std::string& text)
+    void
+    take_rows(node& one, const instance_name& from, const std::string& text)
     {
         const auto message = parse_rows_message(text).value();
         const auto& delta = std::get<rows_delta>(message);
@@ -537,15 +540,12 @@
     bool can_reach_store(const node& one) const
     {
         return !faults.store_down &&
-            !(faults.is_store_cut && faults.is_store_cut(one.index));
+               !(faults.is_store_cut && faults.is_store_cut(one.index));
     }
 
     void poll(node& one)
     {
-        const reader_election election;
-        const bool reader = election.is_reader(
-            one.record.name, one.members->live_in(one.record.zone));
-        if (!one.polls->due(now_, reader, one.fresh->last_heard()))
+        if (!one.polls->due(now_, one.reader, one.fresh->last_heard()))
             return;
         one.polls->sent(now_);
         ++one.sent.polls;
@@ -594,8 +594,7 @@
         });
     }
 
-    static void
-    count(node& one, std::uint64_t& bytes, const std::string& text)
+    static void count(node& one, std::uint64_t& bytes, const std::string& text)
     {
         bytes += text.size();
         ++one.sent.messages;
--- a/src/membership/instance_record.cpp
+++ b/src/membership/instance_record.cpp
@@ -50,7 +50,7 @@
     record.renewals = fields.number("renewals");
     record.leaving = fields.flag_or("leaving", false);
     const bool has_name = row_key.starts_with(instance_row_prefix) &&
-        row_key.size() > instance_row_prefix.size();
+                          row_key.size() > instance_row_prefix.size();
     if (!fields.is_complete() || !has_name)
         return fail(errc::malformed, "instance.parse", std::string(row_key));
     record.name = row_key.substr(instance_row_prefix.size());
--- a/src/membership/instance_table.cpp
+++ b/src/membership/instance_table.cpp
@@ -20,7 +20,8 @@
 /// Monitors whose reports make an instance down.
 constexpr std::size_t needed_reports = 2;
 
-incarnation life_of(const instance_record& record, const instance_status* status)
+incarnation
+life_of(const instance_record& record, const instance_status* status)
 {
     return status == nullptr ? record.life
                              : std::max(record.life, status->life);
@@ -39,9 +40,7 @@
 
 } // namespace
 
-instance_table::instance_table(instance_name self) : self_(std::move(self))
-{
-}
+instance_table::instance_table(instance_name self) : self_(std::move(self)) {}
 
 void instance_table::start_log(std::int64_t base)
 {
@@ -49,9 +48,14 @@
     log_end_ = static_cast<std::uint64_t>(base);
 }
 
+void instance_table::changed()
+{
+    live_is_current_ = false;
+}
+
 void instance_table::record_change(
-    log_place& place, const instance_name& about,
-    const instance_name& reporter, peer_id from)
+    log_place& place, const instance_name& about, const instance_name& reporter,
+    peer_id from)
 {
     forget_place(place);
     place.position = ++log_end_;
@@ -108,6 +112,8 @@
         entry.row_life = 0;
         if (name != self_ && !announced)
             erase(place);
+        else
+            reindex(name, entry);
         return;
     }
     auto record = parse_instance_record(row.key, row.value);
@@ -134,14 +140,14 @@
     if (known == entries_.end() &&
         entries_.size() >= ring_.size() + max_unknown)
         return false;
-    auto& entry = known == entries_.end() ? entries_[status.name]
-                                          : known->second;
+    auto& entry =
+        known == entries_.end() ? entries_[status.name] : known->second;
     if (status.life < entry.record.life)
         return false;
     if (entry.status) {
         const auto& held = *entry.status;
         const auto order = std::tie(status.life, status.counter) <=>
-            std::tie(held.life, held.counter);
+                           std::tie(held.life, held.counter);
         if (order == 0 && from != 0)
             entry.status_place.known_by.push_back(from);
         if (order <= 0)
@@ -186,8 +192,7 @@
     if (found == entries_.end())
         return 0;
     const auto& status = found->second.status;
-    return detail::life_of(
-        found->second.record, status ? &*status : nullptr);
+    return detail::life_of(found->second.record, status ? &*status : nullptr);
 }
 
 bool instance_table::is_valid(
@@ -206,8 +211,8 @@
     if (found == entries_.end())
         return 0;
     const auto& reports = found->second.reports;
-    return static_cast<std::size_t>(std::count_if(
-        reports.begin(), reports.end(), [&](const auto& report) {
+    return static_cast<std::size_t>(
+        std::count_if(reports.begin(), reports.end(), [&](const auto& report) {
             return is_valid(found->second, report.second, now);
         }));
 }
@@ -229,7 +234,7 @@
             continue;
         ++credible;
         by_unreported = by_unreported || reporter == self_ ||
-            valid_reports(reporter, now) == 0;
+                        valid_reports(reporter, now) == 0;
     }
     if (credible >= needed_reports)
         return true;
@@ -257,12 +262,15 @@
         reported_.erase(name);
 }
 
+bool instance_table::is_expiry_due(time_point now) const
+{
+    return now - expired_at_ >= expire_interval;
+}
+
 void instance_table::expire(
     time_point now, duration forget_after,
     const std::set<instance_name>& reached)
 {
-    if (now - expired_at_ < expire_interval)
-        return;
     expired_at_ = now;
     const auto names = reported_;
     current_reports_ = 0;
@@ -274,21 +282,20 @@
     for (const auto& name : names) {
         auto& entry = entries_.at(name);
         const bool down = name != self_ && !reached.contains(name) &&
-            decide_down(name, entry, now);
+                          decide_down(name, entry, now);
         if (down == entry.down)
             continue;
         entry.down = down;
         entry.changed_at = now;
+        changed();
         changed_services_.insert(entry.indexed_service);
     }
-    for (auto place = entries_.begin(); place != entries_.end();) {
-        const auto next = std::next(place);
+    for (const auto& name : std::set(unsupported_)) {
+        const auto place = entries_.find(name);
         const auto& entry = place->second;
-        const bool unsupported = entry.row_version == 0 &&
-            place->first != self_ && (entry.down || !entry.exists);
-        if (unsupported && now - entry.changed_at > forget_after)
+        if ((entry.down || !entry.exists) &&
+            now - entry.changed_at > forget_after)
             erase(place);
-        place = next;
     }
 }
 
@@ -300,6 +307,8 @@
     for (const auto& [reporter, report] : entry.reports)
         forget_place(report.place);
     reported_.erase(name);
+    unsupported_.erase(name);
+    changed();
     if (const auto set = by_service_.find(entry.indexed_service);
         set != by_service_.end()) {
         set->second.erase(name);
@@ -316,6 +325,11 @@
 
 void instance_table::reindex(const instance_name& name, instance_entry& entry)
 {
+    changed();
+    if (entry.row_version == 0 && name != self_)
+        unsupported_.insert(name);
+    else
+        unsupported_.erase(name);
     const bool has_status =
         entry.status && entry.status->life >= entry.record.life;
     const auto& service =
@@ -410,8 +424,8 @@
 {
     const auto& status = *entry.status;
     return entry.row_life == status.life && status.ready && !status.draining &&
-        !status.leaving && status.service == entry.record.service &&
-        status.slots == entry.record.slots;
+           !status.leaving && status.service == entry.record.service &&
+           status.slots == entry.record.slots;
 }
 
 std::optional<instance_status>
@@ -450,9 +464,9 @@
     if (state.expires <= now || is_known_by(state.place.known_by, cursor.id))
         return true;
     const failure_report report{
-        item.about,     state.life,
-        item.reporter,  state.sequence,
-        state.failing,  std::chrono::floor<milliseconds>(state.expires - now)};
+        item.about,    state.life,
+        item.reporter, state.sequence,
+        state.failing, std::chrono::floor<milliseconds>(state.expires - now)};
     const auto bytes = item_bytes(report);
     if (bytes > room)
         return false;
@@ -512,19 +526,29 @@
     return names;
 }
 
-std::vector<instance_name>
+bool instance_table::is_live(const instance_entry& entry) const
+{
+    const bool has_status =
+        entry.status && entry.status->life >= entry.record.life;
+    const bool leaving =
+        entry.record.leaving || (has_status && entry.status->leaving);
+    return entry.exists && !entry.down && !leaving;
+}
+
+const std::vector<instance_name>&
 instance_table::live(const availability_zone& zone) const
 {
-    std::vector<instance_name> names;
-    for (const auto& [name, entry] : entries_) {
-        const bool leaving = entry.record.leaving ||
-            (entry.status && entry.status->life >= entry.record.life &&
-             entry.status->leaving);
-        const bool in_zone = zone.empty() || entry.record.zone == zone;
-        if (entry.exists && !entry.down && !leaving && in_zone)
-            names.push_back(name);
+    if (!live_is_current_) {
+        live_.clear();
+        for (const auto& [name, entry] : entries_) {
+            if (!is_live(entry))
+                continue;
+            live_[entry.record.zone].push_back(name);
+            live_[availability_zone()].push_back(name);
+        }
+        live_is_current_ = true;
     }
-    return names;
+    return live_[zone];
 }
 
 std::set<availability_zone> instance_table::zones() const
@@ -545,8 +569,10 @@
     for (const auto& [name, entry] : entries_) {
         bytes += sizeof(instance_entry) + 4 * container_bytes + 4 * name.size();
         bytes += entry.record.peer_address.size() +
-            entry.record.operator_address.size() + entry.record.region.size();
-        bytes += entry.reports.size() *
+                 entry.record.operator_address.size() +
+                 entry.record.region.size();
+        bytes +=
+            entry.reports.size() *
             (sizeof(report_state) + sizeof(instance_name) + container_bytes);
     }
     return bytes;
--- a/src/membership/instance_table.hpp
+++ b/src/membership/instance_table.hpp
@@ -60,6 +60,9 @@
     std::optional<instance_status>
     status_to_send(const instance_name& name) const;
 
+    // Expiry and the down rule are evaluated twice a second.
+    bool is_expiry_due(time_point now) const;
+
     // Drops expired reports and instances that are to be forgotten, and
     // decides which instances are down.
     // `reached`: instances that this node's own probes reach.
@@ -88,7 +91,7 @@
     candidates(const service_name& service) const;
     std::vector<service_name> services() const;
     // Live instances of a zone, or all when it is empty.
-    std::vector<instance_name> live(const availability_zone& zone) const;
+    const std::vector<instance_name>& live(const availability_zone& zone) const;
     std::set<availability_zone> zones() const;
     std::size_t size() const { return ring_.size(); }
     std::size_t state_bytes() const;
@@ -131,6 +134,8 @@
     };
     using entry_map = std::map<instance_name, instance_entry>;
 
+    void changed();
+    bool is_live(const instance_entry& entry) const;
     void record_change(
         log_place& place, const instance_name& about,
         const instance_name& reporter, peer_id from);
@@ -138,8 +143,7 @@
     void set_exists(const instance_name& name, instance_entry& entry);
     void erase(entry_map::iterator place);
     void reindex(const instance_name& name, instance_entry& entry);
-    std::size_t
-    valid_reports(const instance_name& name, time_point now) const;
+    std::size_t valid_reports(const instance_name& name, time_point now) const;
     bool is_valid(
         const instance_entry& entry, const report_state& report,
         time_point now) const;
@@ -161,6 +165,10 @@
     bool ring_changed_ = true;
     std::map<std::uint64_t, log_item> log_;
     std::uint64_t log_end_ = 0;
+    // Live instances by zone, all under the empty name; made when asked for.
+    mutable std::map<availability_zone, std::vector<instance_name>> live_;
+    mutable bool live_is_current_ = false;
+    std::set<instance_name> unsupported_;
     std::set<instance_name> reported_;
     std::size_t current_reports_ = 0;
     std::map<service_name, std::set<instance_name>> by_service_;
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -78,6 +78,7 @@
         own_.life = self_.life;
         own_.record = self_;
         table_.set_own(own_, start);
+        next_seed_probe_ = start;
     }
 
     void raise_incarnation(incarnation life)
@@ -118,8 +119,8 @@
     bool is_backend_ready(time_point now) const
     {
         return announced_at_ &&
-            now - *announced_at_ < settings_.announce_timeout && own_.ready &&
-            !own_.draining;
+               now - *announced_at_ < settings_.announce_timeout &&
+               own_.ready && !own_.draining;
     }
 
     void leave(time_point now)
@@ -138,7 +139,8 @@
         update_targets(now);
         for (auto& [name, target] : targets_)
             update_report(name, target, now);
-        table_.expire(now, settings_.forget_after, direct_successes(now));
+        if (table_.is_expiry_due(now))
+            table_.expire(now, settings_.forget_after, direct_successes(now));
         forget_peers(now);
         membership_orders orders;
         add_probes(orders, now, version, evidence);
@@ -200,8 +202,8 @@
         notify();
     }
 
-    void attach_section(
-        std::string name, section_source source, section_sink sink)
+    void
+    attach_section(std::string name, section_source source, section_sink sink)
     {
         sections_[std::move(name)] = {std::move(source), std::move(sink)};
     }
@@ -211,10 +213,7 @@
         observers_.push_back(std::move(watch));
     }
 
-    void add_seed(std::string address)
-    {
-        seeds_.push_back({std::move(address), start_});
-    }
+    void add_seed(std::string address) { seeds_.push_back(std::move(address)); }
 
     detail::instance_table& table() { return table_; }
     const detail::instance_table& table() const { return table_; }
@@ -230,15 +229,10 @@
         constexpr std::size_t peer_bytes = sizeof(peer_state) + 96;
         constexpr std::size_t target_bytes = sizeof(target_state) + 96;
         return table_.state_bytes() + peers_.size() * peer_bytes +
-            targets_.size() * target_bytes;
+               targets_.size() * target_bytes;
     }
 
 private:
-    struct seed
-    {
-        std::string address;
-        time_point next_probe;
-    };
     struct pending_relay
     {
         instance_name about;
@@ -318,7 +312,7 @@
         const auto names = table_.neighbours();
         std::erase_if(targets_, [&](const auto& entry) {
             return std::find(names.begin(), names.end(), entry.first) ==
-                names.end();
+                   names.end();
         });
         for (const auto& name : names) {
             if (targets_.contains(name))
@@ -326,9 +320,9 @@
             // Spread over the interval, so that messages come evenly.
             constexpr std::uint64_t steps = 1024;
             const auto phase = placement_hash(self_.name + '>' + name) % steps;
-            targets_[name].next_probe = now +
-                settings_.probe_interval * static_cast<int>(phase) /
-                    static_cast<int>(steps);
+            targets_[name].next_probe = now + settings_.probe_interval *
+                                                  static_cast<int>(phase) /
+                                                  static_cast<int>(steps);
         }
     }
 
@@ -349,16 +343,24 @@
                 {name, table_.address_of(name),
                  make_message(name, now, version, evidence)});
         }
-        // Seeds only serve to find the first instance that answers.
-        if (has_contact(now))
+        if (!has_contact(now))
+            add_seed_probe(orders, now, version, evidence);
+    }
+
+    /// Seeds only serve to find the first instance that answers. One is tried
+    /// at a time, and nodes begin with different ones, so that a zone that
+    /// boots at once does not fetch all its rows from one seed.
+    void add_seed_probe(
+        membership_orders& orders, time_point now, table_version version,
+        const evidence_list& evidence)
+    {
+        if (seeds_.empty() || now < next_seed_probe_)
             return;
-        for (auto& one : seeds_) {
-            if (now < one.next_probe)
-                continue;
-            advance_probe(one.next_probe, now);
-            orders.probes.push_back(
-                {{}, one.address, make_message({}, now, version, evidence)});
-        }
+        advance_probe(next_seed_probe_, now);
+        const auto place =
+            (placement_hash(self_.name) + seed_tries_++) % seeds_.size();
+        orders.probes.push_back(
+            {{}, seeds_[place], make_message({}, now, version, evidence)});
     }
 
     void advance_probe(time_point& next, time_point now) const
@@ -432,7 +434,7 @@
         peers_checked_ = now;
         std::erase_if(peers_, [&](const auto& entry) {
             return now - entry.second.heard_at > peer_memory &&
-                !targets_.contains(entry.first);
+                   !targets_.contains(entry.first);
         });
     }
 
@@ -599,7 +601,7 @@
         const auto current =
             std::max(table_.current_reports(), settings_.reports_unstretched);
         return span * static_cast<std::int64_t>(current) /
-            static_cast<std::int64_t>(settings_.reports_unstretched);
+               static_cast<std::int64_t>(settings_.reports_unstretched);
     }
 
     void state_report(
@@ -620,15 +622,15 @@
                     std::chrono::floor<seconds>(now - start_).count()));
         report.sequence = target.sequence;
         report.failing = failing;
-        report.expires_in = std::chrono::ceil<milliseconds>(
-            stretched(settings_.report_expiry));
+        report.expires_in =
+            std::chrono::ceil<milliseconds>(stretched(settings_.report_expiry));
         table_.take_report(report, 0, now);
     }
 
     std::set<instance_name> direct_successes(time_point now) const
     {
-        const auto recent = (static_cast<int>(settings_.misses) + 1) *
-            settings_.probe_interval;
+        const auto recent =
+            (static_cast<int>(settings_.misses) + 1) * settings_.probe_interval;
         std::set<instance_name> names;
         for (const auto& [name, target] : targets_) {
             if (!target.failing_since && target.answered_at &&
@@ -648,7 +650,9 @@
     std::map<instance_name, target_state> targets_;
     std::map<std::string, section> sections_;
     std::vector<service_observer> observers_;
-    std::vector<seed> seeds_;
+    std::vector<std::string> seeds_;
+    std::uint64_t seed_tries_ = 0;
+    time_point next_seed_probe_;
     std::vector<pending_relay> relays_;
     std::optional<time_point> announced_at_;
     std::optional<time_point> last_tick_;
@@ -754,12 +758,12 @@
     return impl_->table().services();
 }
 
-std::vector<instance_name> membership::live() const
+const std::vector<instance_name>& membership::live() const
 {
     return impl_->table().live({});
 }
 
-std::vector<instance_name>
+const std::vector<instance_name>&
 membership::live_in(const availability_zone& zone) const
 {
     return impl_->table().live(zone);
--- a/src/membership/membership_measure_main.cpp
+++ b/src/membership/membership_measure_main.cpp
@@ -34,7 +34,7 @@
     timespec used{};
     clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
     return static_cast<double>(used.tv_sec) +
-        static_cast<double>(used.tv_nsec) * 1e-9;
+           static_cast<double>(used.tv_nsec) * 1e-9;
 }
 
 std::size_t live_nodes(const sim::fleet& fleet)
@@ -152,8 +152,7 @@
         for (const auto& one : fleet.nodes) {
             const auto at = one->fresh->confirmed_at();
             if (one->up && at)
-                oldest =
-                    std::max(oldest, fj::to_seconds(fleet.now() - *at));
+                oldest = std::max(oldest, fj::to_seconds(fleet.now() - *at));
         }
     }
     return oldest;
@@ -163,27 +162,27 @@
 {
     const auto version = fleet.change("key/a", "changed").value();
     print(size, "a change, from its commit", time_until(fleet, [&](auto& one) {
-        return one.rows->version() >= version;
-    }));
+              return one.rows->version() >= version;
+          }));
     auto& leaver = *fleet.nodes[size / 2];
     const auto name = leaver.record.name;
     leaver.members->leave(fleet.now());
     print(size, "a leave", time_until(fleet, [&](auto& one) {
-        const auto view = one.members->find(name);
-        return one.record.name == name || (view && view->status.leaving);
-    }));
+              const auto view = one.members->find(name);
+              return one.record.name == name || (view && view->status.leaving);
+          }));
     auto& victim = *fleet.nodes[size / 3];
     fleet.stop(victim);
     print(size, "a crash, until it is down", time_until(fleet, [&](auto& one) {
-        return one.members->is_down(victim.record.name);
-    }));
+              return one.members->is_down(victim.record.name);
+          }));
     fleet.start(victim);
     print(
         size, "a restart at once, until it is a candidate",
         time_until(fleet, [&](auto& one) {
             const auto view = one.members->find(victim.record.name);
             return view && !view->down && view->status.ready &&
-                view->status.life == victim.members->self().life;
+                   view->status.life == victim.members->self().life;
         }));
 }
 
@@ -224,28 +223,28 @@
     // 3,800 changes a day are one in 23 s; two are made in 46 s of traffic
     // that is measured over 20 s, so the figure is scaled up by 0.4%.
     print(size, "one change in 20 s", measure(fleet, 20, [&](int second) {
-        if (second == 0)
-            fleet.change("key/daily", std::string(180, 'k'));
-    }));
+              if (second == 0)
+                  fleet.change("key/daily", std::string(180, 'k'));
+          }));
     print(size, "50 changes in 10 s", measure(fleet, 10, [&](int second) {
-        for (int i = 0; i != 5; ++i) {
-            fleet.schedule(fj::milliseconds(200 * i), [&fleet, second, i] {
-                fleet.change(
-                    fmt::format("key/{}", 5 * second + i),
-                    std::string(180, 'k'));
-            });
-        }
-    }));
+              for (int i = 0; i != 5; ++i) {
+                  fleet.schedule(
+                      fj::milliseconds(200 * i), [&fleet, second, i] {
+                          fleet.change(
+                              fmt::format("key/{}", 5 * second + i),
+                              std::string(180, 'k'));
+                      });
+              }
+          }));
     const auto per_second = std::max<std::size_t>(1, size / 100);
     print(
         size, "rolling restart, 1% a second",
         measure(fleet, 15, [&](int second) {
             for (std::size_t i = 0; i != per_second; ++i) {
-                auto& one = *fleet.nodes
-                                 [(static_cast<std::size_t>(second) *
-                                       per_second +
-                                   i) %
-                                  size];
+                auto& one =
+                    *fleet.nodes
+                         [(static_cast<std::size_t>(second) * per_second + i) %
+                          size];
                 one.members->leave(fleet.now());
                 fleet.schedule(fj::milliseconds(500), [&fleet, &one] {
                     fleet.stop(one);
@@ -261,9 +260,9 @@
     for (const auto& viewer : fleet.nodes) {
         for (const auto& other : fleet.nodes)
             unseen += viewer->up && !other->up &&
-                    !viewer->members->is_down(other->record.name)
-                ? 1
-                : 0;
+                              !viewer->members->is_down(other->record.name)
+                          ? 1
+                          : 0;
     }
     fmt::print("# {} nodes: pairs not yet seen as down: {}\n", size, unseen);
     restart_zone(fleet);
@@ -283,7 +282,8 @@
             "KB in 1 s | largest probe, bytes | polls/s, fleet | CPU ms/s per "
             "node |\n|---|---|---|---|---|---|---|---|---|\n");
     else
-        fmt::print("| nodes | what | half, ms | all, ms |\n|---|---|---|---|\n");
+        fmt::print(
+            "| nodes | what | half, ms | all, ms |\n|---|---|---|---|\n");
     for (int i = 2; i < argc; ++i)
         measure_size(std::strtoul(argv[i], nullptr, 10), traffic);
     return 0;
--- a/src/membership/own_row.cpp
+++ b/src/membership/own_row.cpp
@@ -32,7 +32,7 @@
 bool own_row::is_renewal_due(time_point now) const
 {
     return !renewed_at_ ||
-        now - *renewed_at_ >= wanted_.lease / renewals_per_lease;
+           now - *renewed_at_ >= wanted_.lease / renewals_per_lease;
 }
 
 bool own_row::is_settled() const
@@ -85,8 +85,7 @@
     return action;
 }
 
-void own_row::read(
-    const result<std::optional<table_row>>& row, time_point now)
+void own_row::read(const result<std::optional<table_row>>& row, time_point now)
 {
     flight_ = flight::none;
     if (!row) {
@@ -121,8 +120,8 @@
 
 void own_row::take_present_row(const instance_record& record, time_point)
 {
-    if (record.life > wanted_.life || (record.life == wanted_.life &&
-                                       !announced_ && !in_doubt_)) {
+    if (record.life > wanted_.life ||
+        (record.life == wanted_.life && !announced_ && !in_doubt_)) {
         if (announced_ || in_doubt_) {
             log(log_level::error, "instance_superseded",
                 {{"incarnation", record.life}});
@@ -152,8 +151,7 @@
     lease_until_ = sent_at_ + wanted_.lease;
 }
 
-void own_row::committed(
-    const result<table_version>& outcome, time_point now)
+void own_row::committed(const result<table_version>& outcome, time_point now)
 {
     flight_ = flight::none;
     if (outcome) {
@@ -204,9 +202,10 @@
 {
     if (!row.key.starts_with(instance_row_prefix))
         return;
-    const auto record = row.deleted
-        ? result<instance_record>(fail(errc::not_found, "instance.row"))
-        : parse_instance_record(row.key, row.value);
+    const auto record =
+        row.deleted
+            ? result<instance_record>(fail(errc::not_found, "instance.row"))
+            : parse_instance_record(row.key, row.value);
     if (!record) {
         entries_.erase(row.key);
         return;
@@ -214,7 +213,7 @@
     const auto& now_read = record.value();
     auto& held = entries_[row.key];
     const bool renewed = held.version == 0 || held.life != now_read.life ||
-        held.renewals != now_read.renewals;
+                         held.renewals != now_read.renewals;
     if (renewed)
         held.first_read = now;
     held.name = now_read.name;
@@ -223,7 +222,7 @@
     held.version = row.version;
     // In units of the clock, so that a short lease's hundredth is not lost.
     held.lease = duration(now_read.lease) +
-        duration(now_read.lease) / clock_rate_divisor;
+                 duration(now_read.lease) / clock_rate_divisor;
     held.next_try = now;
 }
 
--- a/src/membership/probe_messages.cpp
+++ b/src/membership/probe_messages.cpp
@@ -142,8 +142,8 @@
 json::array detail::to_json(const instance_status& status)
 {
     const auto flags = (status.ready ? ready_flag : 0) |
-        (status.draining ? draining_flag : 0) |
-        (status.leaving ? leaving_flag : 0);
+                       (status.draining ? draining_flag : 0) |
+                       (status.leaving ? leaving_flag : 0);
     json::array fields{status.name,    status.life,  status.counter,
                        status.service, status.slots, flags};
     if (status.record)
@@ -153,18 +153,16 @@
 
 json::array detail::to_json(const failure_report& report)
 {
-    return {
-        report.about,    report.life,
-        report.reporter, report.sequence,
-        report.failing ? 1 : 0, report.expires_in.count()};
+    return {report.about,           report.life,
+            report.reporter,        report.sequence,
+            report.failing ? 1 : 0, report.expires_in.count()};
 }
 
 std::string to_text(const probe_message& message)
 {
-    json::object fields{
-        {"from", message.from}, {"life", message.life},
-        {"v", message.version}, {"upto", message.upto},
-        {"ack", message.acknowledged}, {"t", message.stamp}};
+    json::object fields{{"from", message.from},        {"life", message.life},
+                        {"v", message.version},        {"upto", message.upto},
+                        {"ack", message.acknowledged}, {"t", message.stamp}};
     if (message.echo)
         fields["echo"] = json::array{*message.echo, message.held.count()};
     add_list(fields, "ev", message.evidence);
--- a/src/replica/replica.cpp
+++ b/src/replica/replica.cpp
@@ -141,8 +141,8 @@
     const auto before = version_;
     if (part.follows != nullptr && !continues_staged(part))
         return {false, pull_request()};
-    const bool whole = part.end >= part.head && fragment == nullptr &&
-        part.follows == nullptr;
+    const bool whole =
+        part.end >= part.head && fragment == nullptr && part.follows == nullptr;
     if (whole && !part.snapshot && part.base <= version_) {
         apply_complete(part, rows);
         return {version_ > before, std::nullopt};
@@ -188,9 +188,9 @@
 bool replica::continues_staged(const version_range& part) const
 {
     return staged_ && staged_->partial &&
-        staged_->partial->key == part.follows->key &&
-        staged_->partial->version == part.follows->version &&
-        staged_->partial->offset == part.follows->offset;
+           staged_->partial->key == part.follows->key &&
+           staged_->partial->version == part.follows->version &&
+           staged_->partial->offset == part.follows->offset;
 }
 
 void replica::raise_staged_end(table_version end)
@@ -416,7 +416,8 @@
 
 rows_delta replica::push(table_version known) const
 {
-    const rows_delta announcement{version_, version_, version_, false, {}, {}, {}};
+    const rows_delta announcement{version_, version_, version_, false,
+                                  {},       {},       {}};
     if (known < deletions_from_ || known >= version_)
         return announcement;
     rows_delta delta{known, version_, version_, false, {}, {}, {}};
--- a/src/replica/replica_test.cpp
+++ b/src/replica/replica_test.cpp
@@ -144,15 +144,13 @@
 TEST_CASE("replica: a row that changes while it is collected is collected anew")
 {
     fj::replica source;
-    source.apply_list(
-        {{row("big", 1, std::string(300'000, 'a'))}, 1, 1}, 0);
+    source.apply_list({{row("big", 1, std::string(300'000, 'a'))}, 1, 1}, 0);
     fj::replica copy;
     const auto update =
         copy.apply_delta(delta_of(to_text(source.answer(copy.pull_request()))));
     REQUIRE(update.pull);
     CHECK(update.pull->partial);
-    source.apply_list(
-        {{row("big", 2, std::string(200'000, 'b'))}, 2, 2}, 1);
+    source.apply_list({{row("big", 2, std::string(200'000, 'b'))}, 2, 2}, 1);
     pull_all(copy, source);
     check_equal(copy, source);
 }
@@ -210,9 +208,10 @@
         if (kind == 0) {
             ++head;
             const auto key = "key/" + std::to_string(random() % 20);
-            table[key] = random() % 3 == 0
-                ? tombstone(key, head)
-                : row(key, head, std::string(random() % 9000, 'v'));
+            table[key] =
+                random() % 3 == 0
+                    ? tombstone(key, head)
+                    : row(key, head, std::string(random() % 9000, 'v'));
         } else if (kind == 1) {
             const auto after = target.poll_after();
             target.apply_list(list_after(after), after);
@@ -274,20 +273,34 @@
     using enum fj::serve_when;
     const std::vector<rule_case> cases = {
         {"a poll of any zone is recent",
-         {{3999, -1}, {-1, 10}}, all_zones_report_outage, fresh},
+         {{3999, -1}, {-1, 10}},
+         all_zones_report_outage,
+         fresh},
         {"at the limit", {{4000, -1}}, all_zones_report_outage, fresh},
         {"beyond the limit", {{4001, -1}}, all_zones_report_outage, stale},
-        {"all zones fail", {{9000, 100}, {9000, 3000}},
-         all_zones_report_outage, serve_during_outage},
-        {"one zone is not heard of", {{9000, 100}, {9000, -1}},
-         all_zones_report_outage, stale},
-        {"one zone's failure is too old", {{9000, 100}, {9000, 4001}},
-         all_zones_report_outage, stale},
-        {"most zones fail", {{9000, 100}, {-1, 100}, {-1, -1}},
-         majority_of_zones, serve_during_outage},
-        {"half is no majority", {{9000, 100}, {-1, -1}}, majority_of_zones,
+        {"all zones fail",
+         {{9000, 100}, {9000, 3000}},
+         all_zones_report_outage,
+         serve_during_outage},
+        {"one zone is not heard of",
+         {{9000, 100}, {9000, -1}},
+         all_zones_report_outage,
+         stale},
+        {"one zone's failure is too old",
+         {{9000, 100}, {9000, 4001}},
+         all_zones_report_outage,
+         stale},
+        {"most zones fail",
+         {{9000, 100}, {-1, 100}, {-1, -1}},
+         majority_of_zones,
+         serve_during_outage},
+        {"half is no majority",
+         {{9000, 100}, {-1, -1}},
+         majority_of_zones,
          stale},
-        {"cut off, and told to serve", {{9000, -1}, {-1, -1}}, always,
+        {"cut off, and told to serve",
+         {{9000, -1}, {-1, -1}},
+         always,
          serve_during_outage},
     };
     for (const auto& one : cases) {
@@ -346,8 +359,8 @@
         std::string text;
         for (const auto& entry : state.evidence(start + seconds(1)))
             text += entry.zone + ':' +
-                std::to_string(entry.success_age->count()) + ':' +
-                std::to_string(entry.failure_age->count()) + ' ';
+                    std::to_string(entry.success_age->count()) + ':' +
+                    std::to_string(entry.failure_age->count()) + ' ';
         return text;
     };
     for (std::uint64_t seed = 1; seed != 20; ++seed)
