Re-send a status to a neighbour that turns out to be behind

Cause: statuses that the rows imply are left out for a new neighbour. Change: an older status received shows that its sender is behind; the newer one is logged again.

--- a/src/membership/instance_table.cpp
+++ b/src/membership/instance_table.cpp
@@ -150,6 +150,10 @@
                            std::tie(held.life, held.counter);
         if (order == 0 && from != 0)
             entry.status_place.known_by.push_back(from);
+        // The sender is behind: it may have been told long ago, before it
+        // became a neighbour, so what it lacks is logged again.
+        if (order < 0 && from != 0)
+            record_change(entry.status_place, status.name, {}, 0);
         if (order <= 0)
             return false;
     }
@@ -348,6 +352,14 @@
     changed_services_.insert(service);
 }
 
+bool instance_table::is_linked(const instance_name& name) const
+{
+    const auto contains = [&](const std::vector<instance_name>& names) {
+        return std::find(names.begin(), names.end(), name) != names.end();
+    };
+    return contains(neighbours()) || contains(ring_.monitors(self_));
+}
+
 const std::vector<instance_name>& instance_table::neighbours() const
 {
     if (!neighbours_)
--- a/src/membership/instance_table.hpp
+++ b/src/membership/instance_table.hpp
@@ -71,6 +71,8 @@
         const std::set<instance_name>& reached);
 
     const std::vector<instance_name>& neighbours() const;
+    // Whether an instance probes this node or is probed by it.
+    bool is_linked(const instance_name& name) const;
     bool take_ring_change();
     std::set<service_name> take_changed_services();
 
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -434,7 +434,7 @@
         peers_checked_ = now;
         std::erase_if(peers_, [&](const auto& entry) {
             return now - entry.second.heard_at > peer_memory &&
-                   !targets_.contains(entry.first);
+                   !table_.is_linked(entry.first);
         });
     }
 
