Add the suspects slice

Cause: a request that crashes backend servers is sent again by its caller. Change: a list of fingerprints under suspicion with crashes and clearings that only add up (commutative, idempotent merge), a decision for the node that chooses and for the node that runs, and a gate that runs suspects one at a time for at most a quarter of the time.

--- /dev/null
+++ b/src/suspects/suspects_test.cpp
@@ -0,0 +1,184 @@
+#include <fulmarjunction/suspects/suspects.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <memory>
+
+namespace fj = fulmarjunction;
+using fj::milliseconds;
+using fj::seconds;
+using action = fj::suspect_action;
+
+namespace {
+
+const fj::time_point start{seconds(1000)};
+const std::vector<fj::instance_name> instances = {"i1", "i2", "i3"};
+
+fj::suspect_list make_list(const fj::instance_name& self)
+{
+    return {fj::suspect_settings{}, self, 100};
+}
+
+void exchange(fj::suspect_list& from, fj::suspect_list& to, fj::time_point now)
+{
+    for (const auto& report : from.changes(0, 1000, now))
+        to.merge(report, now);
+}
+
+} // namespace
+
+TEST_CASE("a request sent again and again takes down two instances")
+{
+    std::vector<fj::suspect_list> nodes;
+    nodes.reserve(instances.size());
+    for (const auto& name : instances)
+        nodes.push_back(make_list(name));
+    std::size_t crashes = 0;
+    auto now = start;
+    for (int attempt = 0; attempt != 100; ++attempt) {
+        now += milliseconds(1500);
+        // Any node may be the entry.
+        auto& entry = nodes[static_cast<std::size_t>(attempt) % 3];
+        const auto decision = entry.decide(7, instances, now);
+        if (decision.action == action::refuse)
+            continue;
+        const auto target = decision.instance.value_or("i1");
+        for (std::size_t i = 0; i != 3; ++i) {
+            if (instances[i] != target)
+                continue;
+            ++crashes;
+            const bool alone = decision.action == action::run_alone;
+            nodes[i].crashed(
+                {7, 8},
+                alone ? std::optional<fj::fingerprint>(7) : std::nullopt, now);
+            for (auto& other : nodes)
+                exchange(nodes[i], other, now);
+        }
+    }
+    CHECK(crashes == 2);
+    // The request in flight beside it is blamed for the first crash only.
+    CHECK(nodes[0].decide(8, instances, now).action == action::run_alone);
+    nodes[1].finished(8, now);
+    exchange(nodes[1], nodes[0], now);
+    CHECK(nodes[0].decide(8, instances, now).action == action::run);
+    // It is tried again when its crashes have expired.
+    now += seconds(301);
+    CHECK(nodes[0].decide(7, instances, now).action == action::run);
+    nodes[0].expire(now);
+    CHECK(nodes[0].size() == 0);
+}
+
+TEST_CASE("every node sends a suspect to the same instance")
+{
+    auto a = make_list("i1");
+    auto b = make_list("i2");
+    a.crashed({7}, std::nullopt, start);
+    exchange(a, b, start);
+    const auto reversed =
+        std::vector<fj::instance_name>(instances.rbegin(), instances.rend());
+    const auto at_a = a.decide(7, instances, start);
+    CHECK(at_a.instance == b.decide(7, reversed, start).instance);
+    CHECK(at_a.instance != "i1");
+    // The instance that it crashed does not run it.
+    CHECK(a.decide_here(7, start).action == action::refuse);
+    CHECK(b.decide_here(7, start).action == action::run_alone);
+    CHECK(a.decide(7, {"i1"}, start).action == action::refuse);
+}
+
+TEST_CASE("an entry does not wait for the report of a crash it saw")
+{
+    auto entry = make_list("e");
+    entry.attempt_failed(7, "i1", start);
+    CHECK(entry.decide(7, instances, start).action == action::run_alone);
+    // The report of the same crash is no second instance.
+    auto node = make_list("i1");
+    node.crashed({7}, std::nullopt, start);
+    exchange(node, entry, start);
+    CHECK(entry.decide(7, instances, start).action == action::run_alone);
+}
+
+TEST_CASE("merging is commutative and idempotent")
+{
+    auto i1 = make_list("i1");
+    auto i2 = make_list("i2");
+    i1.crashed({7, 8}, std::nullopt, start);
+    i2.crashed({7, 9}, std::nullopt, start);
+    auto cleared = make_list("i3");
+    exchange(i1, cleared, start);
+    cleared.finished(8, start);
+
+    auto reports = i1.changes(0, 100, start);
+    for (const auto* list : {&i2, &cleared}) {
+        for (const auto& report : list->changes(0, 100, start))
+            reports.push_back(report);
+    }
+    const auto decisions = [](const fj::suspect_list& list) {
+        std::vector<action> found;
+        for (const fj::fingerprint print : {7, 8, 9})
+            found.push_back(list.decide(print, instances, start).action);
+        return found;
+    };
+    const std::vector<action> expected = {
+        action::refuse, action::run, action::run_alone};
+    std::vector<std::size_t> order(reports.size());
+    for (std::size_t i = 0; i != order.size(); ++i)
+        order[i] = i;
+    do {
+        auto list = make_list("x");
+        for (const auto index : order)
+            list.merge(reports[index], start);
+        REQUIRE(decisions(list) == expected);
+        // A report that comes again, a little later, is no news.
+        for (const auto& report : reports)
+            REQUIRE_FALSE(list.merge(report, start + seconds(1)));
+    } while (std::next_permutation(order.begin(), order.end()));
+}
+
+TEST_CASE("a flood does not push out a proven suspect")
+{
+    fj::suspect_settings settings;
+    settings.max_suspects = 50;
+    fj::suspect_list list(settings, "i1", 100);
+    list.crashed({7}, std::nullopt, start);
+    list.merge({7, {{"i2", 5, seconds(100), false}}}, start);
+    for (fj::fingerprint print = 1000; print != 1500; ++print)
+        list.merge({print, {{"i3", print, seconds(300), false}}}, start);
+    CHECK(list.size() <= 50);
+    CHECK(list.size() > 40);
+    CHECK(list.decide(7, instances, start).action == action::refuse);
+    CHECK(list.changes(0, 10, start).size() == 10);
+}
+
+TEST_CASE("suspects run one at a time and leave time for others")
+{
+    fj::suspect_gate gate{fj::suspect_settings{}};
+    CHECK(gate.offer(1, start));
+    CHECK(gate.offer(2, start));
+    CHECK_FALSE(gate.next(3, start));
+    CHECK(gate.blocks_others(start));
+    auto now = start + milliseconds(50);
+    CHECK(gate.next(0, now) == 1);
+    CHECK_FALSE(gate.next(0, now));
+    now += milliseconds(50);
+    gate.ended(1, now);
+    // 100 ms closed at a share of a quarter leaves 300 ms for others.
+    CHECK_FALSE(gate.blocks_others(now));
+    CHECK_FALSE(gate.next(0, now + milliseconds(299)));
+    CHECK_FALSE(gate.next(1, now + milliseconds(300)));
+    // A long request in flight does not hold up a suspect for ever.
+    CHECK(gate.next(1, now + milliseconds(550)) == 2);
+    gate.ended(2, now + milliseconds(600));
+    CHECK(gate.offer(3, now));
+    CHECK(gate.take_expired(now + seconds(3)).size() == 1);
+    CHECK_FALSE(gate.blocks_others(now + seconds(3)));
+}
+
+TEST_CASE("fingerprints tell the parts of a request apart")
+{
+    const auto one = fj::fingerprint_of("a", "bc", "/x", "body");
+    CHECK(one == fj::fingerprint_of("a", "bc", "/x", "body"));
+    CHECK(one != fj::fingerprint_of("ab", "c", "/x", "body"));
+    CHECK(one != fj::fingerprint_of("a", "bc", "/x", "bod"));
+    CHECK(one != fj::fingerprint_of("z", "bc", "/x", "body"));
+}
