Carry levels from below to the entry

Cause: learning from refusals took seconds for each entry, endpoint and account (few answers each); recovery_s was 9 to 20 s. Change: answers carry the highest level met below; the demand of a flow is measured only above the levels of the last second; own time excludes waits for other services.

--- a/include/fulmarjunction/admission/admission.hpp
+++ b/include/fulmarjunction/admission/admission.hpp
@@ -114,6 +114,12 @@
     /// Tells that a started request has ended.
     admission_events finish(std::uint64_t id, completion how, time_point now);
 
+    /// Tells that a started request begins, or has ceased, to wait for the
+    /// answer of a call of its own. That time is the time of other services,
+    /// and does not count as this server's latency.
+    void call_started(std::uint64_t id, time_point now);
+    void call_ended(std::uint64_t id, time_point now);
+
     /// Withdraws a waiting request, or ends a started one as canceled.
     admission_events cancel(std::uint64_t id, time_point now);
 
--- a/include/fulmarjunction/admission/endpoint_levels.hpp
+++ b/include/fulmarjunction/admission/endpoint_levels.hpp
@@ -21,9 +21,21 @@
     request_priority priority = 0;
 };
 
-/// Learns for each endpoint and client account which part of its roots is
-/// refused somewhere below, and refuses that part before any work. Every hop
-/// sheds by the same hash, so a root below the learned level cannot finish.
+/// What an answer tells of the services below.
+struct below_observation
+{
+    /// Whether a call below was refused as overloaded, so that the work done
+    /// above it was wasted.
+    bool refused = false;
+    /// Highest level that the calls of this root met; 0 when none refuses.
+    admission_level level = 0;
+};
+
+/// Learns for each endpoint and client account below which level roots are
+/// refused somewhere below, and refuses these before any work. Every hop
+/// sheds by the same hash, so a root below the level cannot finish. Used by
+/// the entry for roots, and by the node of a backend server for the calls
+/// that it is to run.
 class endpoint_levels
 {
 public:
@@ -34,32 +46,31 @@
     /// the level is let through, to notice a level that has become too high.
     bool admit(const entry_root& root, time_point now);
 
-    /// A root that was admitted has ended.
-    /// @param refused_below whether a call below the entry's own was refused
-    ///        as overloaded, so that the work done above it was wasted
-    void ended(const entry_root& root, bool refused_below, time_point now);
+    /// A root that was sent has ended: answered, or refused below.
+    void ended(
+        const entry_root& root, const below_observation& seen,
+        time_point now);
 
     /// Returns the level of an endpoint for an account, 0 when nothing is
-    /// refused.
-    admission_level
-    level(const endpoint_name& endpoint, const client_account& account) const;
+    /// refused. It expires after a second without an answer.
+    admission_level level(
+        const endpoint_name& endpoint, const client_account& account,
+        time_point now) const;
 
 private:
     struct learned
     {
-        /// Share of the roots that is refused.
-        double refused_share = 0;
-        double growth = 0;
-        std::size_t ended = 0;
-        std::size_t refused = 0;
-        time_point period_start;
-        time_point last_use;
+        /// Importance class of the endpoint.
         double rank = 0;
+        /// Share of the roots of the class that is refused below.
+        double refused_share = 0;
+        /// Share of the answers that met a level.
+        double concerned = 0;
+        time_point updated;
     };
     using key = std::pair<endpoint_name, client_account>;
 
-    static void adjust(learned& state, time_point now);
-    learned& state_of(const entry_root& root, time_point now);
+    static double share_at(const learned& state, time_point now);
 
     std::function<std::uint64_t()> random_;
     std::map<key, learned> learned_;
--- a/include/fulmarjunction/routing/balancer.hpp
+++ b/include/fulmarjunction/routing/balancer.hpp
@@ -84,6 +84,12 @@
         const routing_request& request, const std::set<instance_name>& excluded,
         time_point now);
 
+    /// Returns the level below which every instance of the service refuses
+    /// the flow, as far as is known; 0 when some instance refuses none.
+    admission_level level(
+        const service_name& service, const admission_flow& flow,
+        time_point now) const;
+
     /// A call was sent to the instance.
     void sent(const instance_name& instance, time_point now);
 
--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -47,6 +47,8 @@
     admission_events cancel(std::uint64_t id, time_point now);
     admission_events tick(time_point now);
     void restarted(std::size_t slots, time_point now);
+    void call_started(std::uint64_t id, time_point now);
+    void call_ended(std::uint64_t id, time_point now);
 
     const detail::shedding& levels() const { return shedding_; }
     std::size_t in_flight() const { return running_.size(); }
@@ -58,6 +60,10 @@
     {
         time_point started;
         endpoint_name endpoint;
+        /// Calls of its own that are not answered.
+        std::size_t open_calls = 0;
+        time_point waits_since;
+        duration waited{};
     };
 
     std::optional<refusal_reason>
@@ -94,7 +100,7 @@
 void admission_controller::impl::start(
     const admission_request& request, time_point now, admission_events& events)
 {
-    running_[request.id] = {now, request.endpoint};
+    running_[request.id] = {now, request.endpoint, 0, {}, {}};
     events.emplace_back(admission_start{request.id});
 }
 
@@ -167,10 +173,12 @@
     const auto found = running_.find(id);
     if (found == running_.end())
         return events;
-    const auto request = found->second;
+    auto request = found->second;
     running_.erase(found);
+    if (request.open_calls != 0)
+        request.waited += now - request.waits_since;
     const auto held = now - request.started;
-    limit_.finished(how, request.started, now);
+    limit_.finished(how, request.started, held - request.waited);
     // A refusal by the server says nothing of the time that a request takes.
     if (how != completion::refused)
         shedding_.finished(held);
@@ -180,6 +188,24 @@
     return events;
 }
 
+void admission_controller::impl::call_started(
+    std::uint64_t id, time_point now)
+{
+    const auto found = running_.find(id);
+    if (found != running_.end() && found->second.open_calls++ == 0)
+        found->second.waits_since = now;
+}
+
+void admission_controller::impl::call_ended(std::uint64_t id, time_point now)
+{
+    const auto found = running_.find(id);
+    if (found == running_.end() || found->second.open_calls == 0)
+        return;
+    auto& request = found->second;
+    if (--request.open_calls == 0)
+        request.waited += now - request.waits_since;
+}
+
 admission_events
 admission_controller::impl::cancel(std::uint64_t id, time_point now)
 {
@@ -240,6 +266,16 @@
     return impl_->cancel(id, now);
 }
 
+void admission_controller::call_started(std::uint64_t id, time_point now)
+{
+    impl_->call_started(id, now);
+}
+
+void admission_controller::call_ended(std::uint64_t id, time_point now)
+{
+    impl_->call_ended(id, now);
+}
+
 admission_events admission_controller::tick(time_point now)
 {
     return impl_->tick(now);
--- a/src/admission/concurrency_limit.cpp
+++ b/src/admission/concurrency_limit.cpp
@@ -59,7 +59,7 @@
 }
 
 void concurrency_limit::finished(
-    completion how, time_point started, time_point now)
+    completion how, time_point started, duration own_time)
 {
     if (how == completion::refused)
         ++window_.refused;
@@ -70,7 +70,7 @@
     if (in_trial_ && started < trial_counts_from_)
         return;
     ++window_.succeeded;
-    window_.latency_sum += to_seconds(now - started);
+    window_.latency_sum += to_seconds(own_time);
 }
 
 void concurrency_limit::tick(bool saturated, time_point now)
--- a/src/admission/concurrency_limit.hpp
+++ b/src/admission/concurrency_limit.hpp
@@ -16,7 +16,8 @@
     concurrency_limit(const admission_settings& settings, time_point start);
 
     /// A request that started at `started` has ended.
-    void finished(completion how, time_point started, time_point now);
+    /// @param own_time time since then without waits for other services
+    void finished(completion how, time_point started, duration own_time);
 
     /// Closes the measuring window when it is due.
     /// @param saturated whether the limit holds requests back
--- a/src/admission/shedding.cpp
+++ b/src/admission/shedding.cpp
@@ -9,8 +9,13 @@
 /// Short enough to act within a queue's worth of requests, long enough to
 /// count some of them.
 constexpr duration control_period = milliseconds(100);
-/// Part of a new measurement in the running mean.
+/// Part of a new measurement of the time held in the running mean.
 constexpr double smoothing = 0.3;
+/// A measurement of n requests has the part n / (n + this) in the running
+/// mean of demand, so that few requests do not move it much.
+constexpr double smoothing_requests = 15;
+/// Upstream nodes may hold a level for a second, and an answer takes time.
+constexpr duration level_memory = milliseconds(700);
 constexpr double greatest_correction = 1.2;
 constexpr double least_correction = 0.5;
 constexpr double raise_step = 1.02;
@@ -30,7 +35,7 @@
 } // namespace
 
 shedding::shedding(const admission_settings& settings, time_point start)
-    : settings_(settings), period_start_(start)
+    : settings_(settings), period_start_(start), memory_start_(start)
 {
 }
 
@@ -40,11 +45,12 @@
     auto& flow = flows_of_class[{request.account, request.invested}];
     flow.weight = request.weight > 0 ? request.weight : 1e-3;
     flow.idle_periods = 0;
-    if (rank_in_class(request.root) < flow.refused_share)
-        return false;
-    // Only these are counted: the others may be refused upstream.
-    ++flow.above;
-    return true;
+    const double rank = rank_in_class(request.root);
+    // Roots below a level of the last second may be refused upstream, so
+    // demand is taken from those above it.
+    if (rank >= flow.sampled_from())
+        ++flow.sampled;
+    return rank >= flow.refused_share;
 }
 
 void shedding::started(duration wait)
@@ -73,21 +79,31 @@
 {
     if (now - period_start_ < control_period)
         return;
-    measure_demand(to_seconds(now - period_start_));
+    const bool memory_due = now - memory_start_ >= level_memory;
+    if (memory_due)
+        memory_start_ = now;
+    measure_demand(to_seconds(now - period_start_), memory_due);
     measure_capacity(limit);
     correct(waiting);
     set_levels();
     period_start_ = now;
 }
 
-void shedding::measure_demand(double period)
+void shedding::measure_demand(double period, bool memory_due)
 {
     for (auto& flows_of_class : classes_) {
         for (auto& [name, flow] : flows_of_class) {
-            const double rate = static_cast<double>(flow.above) / period /
-                                (1 - flow.refused_share);
-            flow.rate += smoothing * (rate - flow.rate);
-            flow.above = 0;
+            const double part = 1 - flow.sampled_from();
+            const auto sampled = static_cast<double>(flow.sampled);
+            const double weight =
+                std::max(sampled, flow.rate * period * part);
+            flow.rate += weight / (weight + smoothing_requests) *
+                         (sampled / period / part - flow.rate);
+            flow.sampled = 0;
+            if (memory_due) {
+                flow.earlier_highest = flow.recent_highest;
+                flow.recent_highest = flow.refused_share;
+            }
             ++flow.idle_periods;
         }
         std::erase_if(flows_of_class, [](const auto& item) {
@@ -152,6 +168,8 @@
                     share < least_refused_share
                         ? 0
                         : std::min(share, greatest_refused_share);
+                flow->recent_highest =
+                    std::max(flow->recent_highest, flow->refused_share);
             }
         }
     }
--- a/src/admission/shedding.hpp
+++ b/src/admission/shedding.hpp
@@ -6,6 +6,7 @@
 
 #include <fulmarjunction/admission/admission.hpp>
 
+#include <algorithm>
 #include <array>
 #include <map>
 
@@ -44,10 +45,19 @@
     struct demand
     {
         double weight = 1;
-        std::size_t above = 0;
+        /// Requests of this period from `sampled_from` on.
+        std::size_t sampled = 0;
         /// Requests per second, with those refused upstream.
         double rate = 0;
         double refused_share = 0;
+        /// Highest refused share of the present and the last memory period.
+        double recent_highest = 0;
+        double earlier_highest = 0;
+
+        double sampled_from() const
+        {
+            return std::max(recent_highest, earlier_highest);
+        }
         std::size_t idle_periods = 0;
     };
     using flows = std::map<admission_flow, demand>;
@@ -61,7 +71,7 @@
         demand* fresh = nullptr;
     };
 
-    void measure_demand(double period);
+    void measure_demand(double period, bool memory_due);
     void measure_capacity(std::size_t limit);
     void correct(std::size_t waiting);
     void set_levels();
@@ -71,6 +81,7 @@
 
     admission_settings settings_;
     time_point period_start_;
+    time_point memory_start_;
     std::array<flows, importance_classes> classes_;
     double held_sum_ = 0;
     std::size_t held_count_ = 0;
--- a/src/bench/world.cpp
+++ b/src/bench/world.cpp
@@ -47,6 +47,8 @@
     std::uint32_t unspent = 0;
     /// Whether a call below this one was refused.
     bool refused_below = false;
+    /// Highest level met below the instance that was called.
+    admission_level level_below = 0;
 };
 using call_done = std::function<void(const call_result&)>;
 
@@ -76,6 +78,7 @@
     /// Work in progress at the backend server.
     std::optional<time_point> working_since;
     std::uint32_t unspent = 0;
+    admission_level level_below = 0;
 };
 using attempt_pointer = std::shared_ptr<attempt_state>;
 
@@ -125,6 +128,9 @@
     double arrival_rate(std::size_t account, std::size_t endpoint) const;
     void send_root(std::size_t request);
     void end_root(const root_pointer& root, const call_result& result);
+    void learn_below(
+        std::size_t node, const entry_root& seen, const call_result& result);
+    entry_root seen_root(const root_state& root) const;
 
     void try_call(const call_pointer& call);
     std::optional<std::size_t> choose(const call_state& call, refusal& why);
@@ -267,7 +273,6 @@
     root->priority = priority_of(model.rank, root->id);
     root->deadline = now() + client_timeout;
     root->entry = random_() % instances_.size();
-    const auto& account = accounts()[record_.requests[request].account];
     loop_.at(root->deadline, [this, root] {
         end_root(
             root, {false, outcome::unknown, refusal_reason::deadline_expired, 0,
@@ -283,7 +288,7 @@
     call->done = [this, root](const call_result& result) {
         end_root(root, result);
     };
-    const entry_root seen{model.name, account.name, root->priority};
+    const auto seen = seen_root(*root);
     auto& levels = *instances_[root->entry].levels;
     if (controlled() && !levels.admit(seen, now())) {
         loop_.after(hop_delay, [this, root] {
@@ -294,15 +299,31 @@
         return;
     }
     call->done = [this, root, seen](const call_result& result) {
-        if (result.succeeded || result.refused_below)
-            instances_[root->entry].levels->ended(
-                seen, result.refused_below, now());
+        learn_below(root->entry, seen, result);
         loop_.after(
             hop_delay, [this, root, result] { end_root(root, result); });
     };
     loop_.after(hop_delay, [this, call] { try_call(call); });
 }
 
+void world::learn_below(
+    std::size_t node, const entry_root& seen, const call_result& result)
+{
+    // A refusal before any work, and a lost answer, tell nothing of below.
+    const bool told = result.succeeded || result.what == outcome::answered ||
+                      result.level_below > 0;
+    if (controlled() && told)
+        instances_[node].levels->ended(
+            seen, {result.refused_below, result.level_below}, now());
+}
+
+entry_root world::seen_root(const root_state& root) const
+{
+    const auto& request = record_.requests[root.request];
+    return {endpoints()[request.endpoint].name,
+            accounts()[request.account].name, root.priority};
+}
+
 void world::end_root(const root_pointer& root, const call_result& result)
 {
     if (root->ended)
@@ -471,6 +492,15 @@
     offered.invested = call.hop != 0;
     offered.deadline = root.deadline;
     offered.endpoint = endpoints()[request.endpoint].name;
+    const auto seen = seen_root(root);
+    if (!here.levels->admit(seen, now())) {
+        end_attempt(
+            attempt, completion::refused,
+            {false, outcome::not_run, refusal_reason::overloaded,
+             attempt->handed, false,
+             here.levels->level(seen.endpoint, seen.account, now())});
+        return;
+    }
     handle(attempt->target, here.admission->offer(offered, now()));
 }
 
@@ -588,15 +618,32 @@
         finish();
         return;
     }
+    const auto child_service = services()[call.hop + 1].name;
     auto child = std::make_shared<call_state>();
     child->root = call.root;
     child->hop = call.hop + 1;
     child->sender = attempt->target;
     child->budget = retry_budget(
         policy_ == policy::per_hop_retries ? extra_attempts : attempt->handed);
-    child->done = [this, attempt, finish](const call_result& result) {
+    if (controlled())
+        instances_[attempt->target].admission->call_started(
+            attempt->id, now());
+    child->done = [this, attempt, finish, child_service](
+                      const call_result& result) {
         if (attempt->ended)
             return;
+        auto& here = instances_[attempt->target];
+        if (controlled()) {
+            here.admission->call_ended(attempt->id, now());
+            auto flow = flow_of(*attempt->call);
+            flow.invested = true;
+            attempt->level_below = std::max(
+                result.level_below,
+                here.routes->level(child_service, flow, now()));
+            auto seen = result;
+            seen.level_below = attempt->level_below;
+            learn_below(attempt->target, seen_root(*attempt->call->root), seen);
+        }
         attempt->unspent = result.unspent;
         if (result.succeeded) {
             finish();
@@ -653,7 +700,8 @@
     here.up = false;
     const auto lost = here.attempts;
     here.queue.clear();
-    for (const auto& [id, attempt] : lost) {
+    for (const auto& item : lost) {
+        const auto attempt = item.second;
         attempt->ended = true;
         stop_work(*attempt);
         loop_.after(hop_delay, [this, attempt] {
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -62,7 +62,7 @@
     void start_new_life(incarnation new_life, std::optional<time_point> from);
     double chance(time_point now) const;
     double score(double typical_latency, time_point now) const;
-    bool refuses(const routing_request& request, time_point now) const;
+    admission_level level(const admission_flow& flow, time_point now) const;
     void connection_failed(time_point now);
     void learn_level(const routing_observation& seen, time_point now);
 };
@@ -103,12 +103,13 @@
            std::max(succeeds, least_success);
 }
 
-bool instance_state::refuses(
-    const routing_request& request, time_point now) const
+admission_level
+instance_state::level(const admission_flow& flow, time_point now) const
 {
-    const auto found = levels.find(request.flow);
-    return found != levels.end() && now < found->second.expires &&
-           request.priority < found->second.level;
+    const auto found = levels.find(flow);
+    if (found == levels.end() || now >= found->second.expires)
+        return 0;
+    return found->second.level;
 }
 
 void instance_state::connection_failed(time_point now)
@@ -155,6 +156,9 @@
     routing_choice choose(
         const routing_request& request, const std::set<instance_name>& excluded,
         time_point now);
+    admission_level level(
+        const service_name& service, const admission_flow& flow,
+        time_point now) const;
     void sent(const instance_name& name);
     void ended(
         const instance_name& name, const routing_observation& seen,
@@ -300,7 +304,7 @@
 
     options accepting;
     for (const auto& item : usable) {
-        if (!item.state->refuses(request, now))
+        if (request.priority >= item.state->level(request.flow, now))
             accepting.push_back(item);
     }
     if (accepting.empty() && random_() % probe_one_in != 0)
@@ -311,6 +315,24 @@
     return {chosen->name, {}};
 }
 
+admission_level balancer::impl::level(
+    const service_name& service, const admission_flow& flow,
+    time_point now) const
+{
+    const auto found = services_.find(service);
+    if (found == services_.end() || found->second.empty())
+        return 0;
+    std::optional<admission_level> least;
+    for (const auto& candidate : found->second) {
+        const auto& state = states_.at(candidate.name);
+        if (now < state.ejected_until)
+            continue;
+        const auto level = state.level(flow, now);
+        least = std::min(least.value_or(level), level);
+    }
+    return least.value_or(0);
+}
+
 void balancer::impl::sent(const instance_name& name)
 {
     const auto found = states_.find(name);
@@ -380,6 +402,13 @@
     return impl_->choose(request, excluded, now);
 }
 
+admission_level balancer::level(
+    const service_name& service, const admission_flow& flow,
+    time_point now) const
+{
+    return impl_->level(service, flow, now);
+}
+
 void balancer::sent(const instance_name& instance, time_point)
 {
     impl_->sent(instance);
