--- a/include/fulmarjunction/peer/peer.hpp
+++ b/include/fulmarjunction/peer/peer.hpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ssl/context.hpp>
 
 #include <cstddef>
 #include <functional>
@@ -34,6 +35,8 @@
     std::uint32_t max_streams = 4096;
     milliseconds connect_timeout{1000};
     milliseconds handshake_timeout{1000};
+    /// Longest time without progress while a body moves.
+    milliseconds idle_timeout{10'000};
 };
 
 /// A request that arrived from an authenticated peer.
@@ -67,15 +70,18 @@
 class peer_server
 {
 public:
+    /// @param tls context for TLS below the proof; null for plain TCP
     peer_server(
         boost::asio::any_io_executor executor, peer_identity identity,
-        peer_limits limits, peer_handler handler);
+        peer_limits limits, peer_handler handler,
+        std::shared_ptr<boost::asio::ssl::context> tls = nullptr);
     ~peer_server();
     peer_server(const peer_server&) = delete;
     peer_server& operator=(const peer_server&) = delete;
 
     /// Binds and starts to accept; port 0 lets the kernel choose.
-    /// @return the bound address
+    /// @return the bound address; `errc::invalid_argument` without a secret
+    ///         or with a name that is empty or over 255 bytes
     result<boost::asio::ip::tcp::endpoint>
     listen(const boost::asio::ip::tcp::endpoint& address);
 
@@ -97,9 +103,12 @@
 class peer_client
 {
 public:
+    /// @param tls context for TLS below the proof, which decides how the
+    ///        peer's certificate is verified; null for plain TCP
     peer_client(
         boost::asio::any_io_executor executor, peer_identity identity,
-        peer_limits limits);
+        peer_limits limits,
+        std::shared_ptr<boost::asio::ssl::context> tls = nullptr);
     ~peer_client();
     peer_client(const peer_client&) = delete;
     peer_client& operator=(const peer_client&) = delete;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -278,7 +278,7 @@
             request.content_length.value_or(0), limits_.idle_timeout),
         asio::bind_cancellation_slot(
             upload->stop.slot(),
-            [upload, link = current->link](std::exception_ptr thrown) {
+            [upload, link = current->link](const std::exception_ptr& thrown) {
                 if (thrown) {
                     upload->failure =
                         error{errc::canceled, "http.send", {}, {}};
--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -50,7 +50,7 @@
     asio::co_spawn(
         stream_.socket().get_executor(),
         [self = shared_from_this()] { return self->read_ahead(); },
-        [self = shared_from_this()](std::exception_ptr) {
+        [self = shared_from_this()](const std::exception_ptr&) {
             self->end_input(false);
         });
 }
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -196,7 +196,7 @@
         self->sessions_.insert(current);
         asio::co_spawn(
             self->executor_, serve(self, current),
-            [self, current](std::exception_ptr) {
+            [self, current](const std::exception_ptr&) {
                 current->link->close();
                 self->sessions_.erase(current);
             });
--- /dev/null
+++ b/src/peer/session.cpp
@@ -0,0 +1,803 @@
+#include <peer/session.hpp>
+
+#include <fulmarjunction/core/log.hpp>
+
+#include <http/head.hpp>
+
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+
+#include <nghttp2/nghttp2.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cstring>
+#include <stdexcept>
+#include <utility>
+
+namespace fulmarjunction::detail {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Largest piece of a body read at once, and of one read from the socket.
+constexpr std::size_t piece_size = 16 * 1024;
+constexpr std::size_t read_size = 32 * 1024;
+
+/// Frames are collected up to this size before a write.
+constexpr std::size_t write_size = 64 * 1024;
+
+/// Window of the whole connection. Streams are limited one by one, so this
+/// only needs to cover the bytes on their way.
+constexpr std::int32_t connection_window = 8 * 1024 * 1024;
+
+/// Longest wait for the peer to close after the last stream.
+constexpr milliseconds close_timeout{1000};
+
+constexpr int min_final_status = 200;
+constexpr int max_status = 999;
+
+std::string_view text_of(const std::uint8_t* bytes, std::size_t size)
+{
+    return {reinterpret_cast<const char*>(bytes), size};
+}
+
+std::optional<std::uint64_t> parse_number(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const auto end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, value);
+    if (parsed.ec != std::errc() || parsed.ptr != end)
+        return std::nullopt;
+    return value;
+}
+
+/// Header fields in the form that nghttp2 takes; it copies the bytes.
+class field_list
+{
+public:
+    void add(std::string_view name, std::string_view value)
+    {
+        const auto bytes = [](std::string_view text) {
+            return reinterpret_cast<std::uint8_t*>(
+                const_cast<char*>(text.data()));
+        };
+        fields_.push_back(
+            {bytes(name), bytes(value), name.size(), value.size(),
+             NGHTTP2_NV_FLAG_NONE});
+        size_ += name.size() + value.size() + overhead;
+    }
+
+    /// Adds what may go into HTTP/2.
+    /// @return whether all names and values are well formed
+    bool add_all(const header_fields& fields)
+    {
+        for (const auto& field : fields) {
+            if (is_connection_field(field.name) || field.name == "host")
+                continue;
+            if (!is_lower_token(field.name) || !is_value(field.value))
+                return false;
+            add(field.name, field.value);
+        }
+        return true;
+    }
+
+    static bool is_value(std::string_view text)
+    {
+        return nghttp2_check_header_value(
+                   reinterpret_cast<const std::uint8_t*>(text.data()),
+                   text.size()) != 0;
+    }
+
+    const nghttp2_nv* data() const { return fields_.data(); }
+    std::size_t count() const { return fields_.size(); }
+
+    /// Size by the rule of SETTINGS_MAX_HEADER_LIST_SIZE.
+    std::size_t size() const { return size_; }
+
+    static constexpr std::size_t overhead = 32;
+
+private:
+    static bool is_lower_token(std::string_view name)
+    {
+        return is_token(name) &&
+               std::none_of(name.begin(), name.end(), [](char c) {
+                   return c >= 'A' && c <= 'Z';
+               });
+    }
+
+    std::vector<nghttp2_nv> fields_;
+    std::size_t size_ = 0;
+};
+
+} // namespace
+
+std::optional<std::uint64_t> find_content_length(const header_fields& fields)
+{
+    const auto text = find_header(fields, "content-length");
+    return text ? parse_number(*text) : std::nullopt;
+}
+
+/// The functions that nghttp2 calls; they run no code of users.
+class session_callbacks
+{
+public:
+    static nghttp2_session* make(peer_session& owner)
+    {
+        nghttp2_session_callbacks* table = nullptr;
+        nghttp2_option* options = nullptr;
+        nghttp2_session* session = nullptr;
+        nghttp2_session_callbacks_new(&table);
+        nghttp2_option_new(&options);
+        nghttp2_option_set_no_auto_window_update(options, 1);
+        nghttp2_option_set_max_send_header_block_length(
+            options, owner.limits_.max_header_bytes * 2);
+        nghttp2_session_callbacks_set_on_begin_headers_callback(
+            table, on_begin_headers);
+        nghttp2_session_callbacks_set_on_header_callback(table, on_header);
+        nghttp2_session_callbacks_set_on_frame_recv_callback(
+            table, on_frame_received);
+        nghttp2_session_callbacks_set_on_data_chunk_recv_callback(
+            table, on_data);
+        nghttp2_session_callbacks_set_on_stream_close_callback(
+            table, on_stream_close);
+        nghttp2_session_callbacks_set_before_frame_send_callback(
+            table, before_frame_sent);
+        nghttp2_session_callbacks_set_on_frame_not_send_callback(
+            table, on_frame_not_sent);
+        const bool is_client = owner.side_ == session_side::client;
+        const int failed =
+            is_client
+                ? nghttp2_session_client_new2(&session, table, &owner, options)
+                : nghttp2_session_server_new2(&session, table, &owner, options);
+        nghttp2_option_del(options);
+        nghttp2_session_callbacks_del(table);
+        if (failed != 0)
+            throw std::bad_alloc();
+        submit_settings(session, owner.limits_);
+        return session;
+    }
+
+    /// Gives the next bytes of a stream's body to nghttp2.
+    static ssize_t read_output(
+        nghttp2_session*, std::int32_t id, std::uint8_t* buffer,
+        std::size_t size, std::uint32_t* flags, nghttp2_data_source*,
+        void* user)
+    {
+        const auto stream = owner_of(user).find(id);
+        if (!stream)
+            return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
+        auto& output = stream->output;
+        const auto left = output.size() - stream->output_start;
+        const auto taken = std::min(left, size);
+        std::memcpy(buffer, output.data() + stream->output_start, taken);
+        stream->output_start += taken;
+        if (taken == left) {
+            output.clear();
+            stream->output_start = 0;
+            stream->drained.notify();
+        }
+        if (taken == left && stream->output_ended) {
+            *flags |= NGHTTP2_DATA_FLAG_EOF;
+            stream->output_finished = true;
+            stream->drained.notify();
+        } else if (taken == 0) {
+            return NGHTTP2_ERR_DEFERRED;
+        }
+        return static_cast<ssize_t>(taken);
+    }
+
+private:
+    static peer_session& owner_of(void* user)
+    {
+        return *static_cast<peer_session*>(user);
+    }
+
+    static void
+    submit_settings(nghttp2_session* session, const peer_limits& limits)
+    {
+        const nghttp2_settings_entry entries[] = {
+            {NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE,
+             static_cast<std::uint32_t>(limits.stream_window)},
+            {NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, limits.max_streams},
+            {NGHTTP2_SETTINGS_MAX_HEADER_LIST_SIZE,
+             static_cast<std::uint32_t>(limits.max_header_bytes)},
+            {NGHTTP2_SETTINGS_ENABLE_PUSH, 0},
+        };
+        nghttp2_submit_settings(
+            session, NGHTTP2_FLAG_NONE, entries, std::size(entries));
+        nghttp2_session_set_local_window_size(
+            session, NGHTTP2_FLAG_NONE, 0, connection_window);
+    }
+
+    static int
+    on_begin_headers(nghttp2_session*, const nghttp2_frame* frame, void* user)
+    {
+        auto& owner = owner_of(user);
+        if (owner.side_ == session_side::client ||
+            frame->headers.cat != NGHTTP2_HCAT_REQUEST)
+            return 0;
+        const auto id = frame->hd.stream_id;
+        owner.streams_.emplace(
+            id, std::make_shared<peer_stream>(owner.executor(), id));
+        ++owner.counters_->streams_opened;
+        return 0;
+    }
+
+    static int on_header(
+        nghttp2_session*, const nghttp2_frame* frame,
+        const std::uint8_t* name_bytes, std::size_t name_size,
+        const std::uint8_t* value_bytes, std::size_t value_size, std::uint8_t,
+        void* user)
+    {
+        auto& owner = owner_of(user);
+        const auto stream = owner.find(frame->hd.stream_id);
+        // Trailers carry nothing here.
+        if (!stream || stream->has_head)
+            return 0;
+        stream->header_bytes += name_size + value_size + field_list::overhead;
+        if (stream->header_bytes > owner.limits_.max_header_bytes)
+            return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
+        const auto name = text_of(name_bytes, name_size);
+        const std::string value(text_of(value_bytes, value_size));
+        if (name == ":method")
+            stream->method = value;
+        else if (name == ":path")
+            stream->target = value;
+        else if (name == ":authority")
+            stream->authority = value;
+        else if (name == ":status")
+            stream->status = static_cast<int>(parse_number(value).value_or(0));
+        else if (!name.starts_with(':'))
+            stream->headers.push_back({std::string(name), value});
+        return 0;
+    }
+
+    static void take_head(peer_session& owner, const stream_ptr& stream)
+    {
+        const bool is_interim = owner.side_ == session_side::client &&
+                                stream->status < min_final_status;
+        if (is_interim) {
+            stream->headers.clear();
+            return;
+        }
+        stream->has_head = true;
+        if (!stream->authority.empty()) {
+            remove_header(stream->headers, "host");
+            stream->headers.push_back({"host", stream->authority});
+        }
+        if (owner.side_ == session_side::server)
+            owner.on_request_(stream);
+    }
+
+    static int
+    on_frame_received(nghttp2_session*, const nghttp2_frame* frame, void* user)
+    {
+        auto& owner = owner_of(user);
+        if (frame->hd.type == NGHTTP2_GOAWAY)
+            owner.goaway_ = true;
+        const auto stream = owner.find(frame->hd.stream_id);
+        if (!stream)
+            return 0;
+        const bool is_message =
+            frame->hd.type == NGHTTP2_HEADERS || frame->hd.type == NGHTTP2_DATA;
+        if (is_message && (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0)
+            stream->input_ended = true;
+        if (frame->hd.type == NGHTTP2_HEADERS && !stream->has_head)
+            take_head(owner, stream);
+        stream->changed.notify();
+        return 0;
+    }
+
+    static int on_data(
+        nghttp2_session* session, std::uint8_t, std::int32_t id,
+        const std::uint8_t* bytes, std::size_t size, void* user)
+    {
+        auto& owner = owner_of(user);
+        // A stream that nobody reads must not hold up the others, so only
+        // the stream's own window waits for its reader.
+        nghttp2_session_consume_connection(session, size);
+        const auto stream = owner.find(id);
+        if (!stream)
+            return 0;
+        if (stream->input_start >= piece_size) {
+            stream->input.erase(0, stream->input_start);
+            stream->input_start = 0;
+        }
+        stream->input.append(text_of(bytes, size));
+        owner.peak_input_ = std::max(
+            owner.peak_input_, stream->input.size() - stream->input_start);
+        stream->changed.notify();
+        return 0;
+    }
+
+    static int on_stream_close(
+        nghttp2_session*, std::int32_t id, std::uint32_t code, void* user)
+    {
+        auto& owner = owner_of(user);
+        if (const auto stream = owner.find(id))
+            owner.close_stream(stream, owner.stream_error(*stream, code));
+        return 0;
+    }
+
+    static int
+    before_frame_sent(nghttp2_session*, const nghttp2_frame* frame, void* user)
+    {
+        if (frame->hd.type != NGHTTP2_HEADERS)
+            return 0;
+        if (const auto stream = owner_of(user).find(frame->hd.stream_id)) {
+            stream->head_sent = true;
+            stream->drained.notify();
+        }
+        return 0;
+    }
+
+    static int on_frame_not_sent(
+        nghttp2_session*, const nghttp2_frame* frame, int, void* user)
+    {
+        auto& owner = owner_of(user);
+        if (frame->hd.type != NGHTTP2_HEADERS)
+            return 0;
+        const auto stream = owner.find(frame->hd.stream_id);
+        if (stream && owner.side_ == session_side::client) {
+            owner.close_stream(
+                stream, owner.stream_error(*stream, NGHTTP2_REFUSED_STREAM));
+        }
+        return 0;
+    }
+};
+
+peer_session::peer_session(
+    byte_stream stream, session_side side, const peer_limits& limits,
+    std::shared_ptr<peer_counters> counters, std::string peer_name)
+    : stream_(std::move(stream)), side_(side), limits_(limits),
+      counters_(std::move(counters)), peer_name_(std::move(peer_name)),
+      session_(session_callbacks::make(*this)), output_ready_(executor())
+{
+}
+
+peer_session::~peer_session()
+{
+    nghttp2_session_del(session_);
+}
+
+asio::any_io_executor peer_session::executor()
+{
+    return stream_.socket().get_executor();
+}
+
+void peer_session::start(request_action on_request)
+{
+    on_request_ = std::move(on_request);
+    const auto self = shared_from_this();
+    const auto ended = [self](const std::exception_ptr&) {
+        self->shut("the connection has closed");
+    };
+    asio::co_spawn(executor(), read_loop(self), ended);
+    asio::co_spawn(executor(), write_loop(self), ended);
+}
+
+awaitable<void> peer_session::read_loop(std::shared_ptr<peer_session> self)
+{
+    std::vector<std::uint8_t> bytes(read_size);
+    while (self->open_) {
+        const auto got = co_await self->stream_.read_some(asio::buffer(bytes));
+        self->counters_->bytes_in += got.size;
+        if (got.failure || !self->open_)
+            co_return;
+        const auto parsed =
+            nghttp2_session_mem_recv(self->session_, bytes.data(), got.size);
+        if (parsed < 0)
+            co_return;
+        self->flush();
+    }
+}
+
+bool peer_session::has_work() const
+{
+    return nghttp2_session_want_read(session_) != 0 ||
+           nghttp2_session_want_write(session_) != 0;
+}
+
+/// Collects frames for one write.
+/// @return whether the session is still usable
+bool peer_session::collect_output(std::string& output)
+{
+    while (output.size() < write_size) {
+        const std::uint8_t* bytes = nullptr;
+        const auto size = nghttp2_session_mem_send(session_, &bytes);
+        if (size < 0)
+            return false;
+        if (size == 0)
+            break;
+        output.append(text_of(bytes, static_cast<std::size_t>(size)));
+    }
+    return true;
+}
+
+awaitable<void> peer_session::write_loop(std::shared_ptr<peer_session> self)
+{
+    std::string output;
+    while (self->open_) {
+        output.clear();
+        if (!self->collect_output(output))
+            co_return;
+        if (output.empty()) {
+            if (!self->has_work())
+                break;
+            co_await self->output_ready_.wait();
+            continue;
+        }
+        asio::const_buffer rest = asio::buffer(output);
+        while (rest.size() > 0) {
+            const auto sent = co_await self->stream_.write_some(rest);
+            self->counters_->bytes_out += sent.size;
+            if (sent.failure)
+                co_return;
+            rest += sent.size;
+        }
+    }
+    if (self->open_)
+        co_await self->finish_output();
+}
+
+/// Ends the output and lets the reader run until the peer closes: closing
+/// with unread input could destroy the end of a response on its way.
+awaitable<void> peer_session::finish_output()
+{
+    asio::steady_timer limit(executor(), close_timeout);
+    limit.async_wait(
+        [self = shared_from_this()](boost::system::error_code failure) {
+            if (!failure)
+                self->close();
+        });
+    co_await stream_.shutdown_send();
+    while (open_)
+        co_await output_ready_.wait();
+}
+
+void peer_session::flush()
+{
+    output_ready_.notify();
+}
+
+stream_ptr peer_session::find(std::int32_t id) const
+{
+    const auto found = streams_.find(id);
+    return found == streams_.end() ? nullptr : found->second;
+}
+
+/// Says what a stream's end means for the one who waits for it.
+error peer_session::stream_error(
+    const peer_stream& source, std::uint32_t code) const
+{
+    const bool not_processed =
+        code == NGHTTP2_REFUSED_STREAM ||
+        (side_ == session_side::client && !source.head_sent);
+    auto kind = errc::connection_broken;
+    if (not_processed && !source.has_head)
+        kind = errc::connection_failed;
+    else if (source.has_head)
+        kind = errc::truncated;
+    return {kind, "peer.stream", peer_name_, nghttp2_http2_strerror(code)};
+}
+
+void peer_session::close_stream(const stream_ptr& target, error failure)
+{
+    streams_.erase(target->id);
+    if (std::exchange(target->closed, true))
+        return;
+    target->failure = std::move(failure);
+    target->changed.notify();
+    target->drained.notify();
+    target->canceled = side_ == session_side::client ? !target->input_ended
+                                                     : !target->output_finished;
+    if (target->canceled)
+        ++counters_->streams_reset;
+    // Users' code must not run inside a call of nghttp2.
+    asio::post(executor(), [target] {
+        if (!target->output_finished)
+            target->stop_sending.emit(asio::cancellation_type::terminal);
+        auto actions = std::exchange(target->cancel_actions, {});
+        if (!target->canceled)
+            return;
+        for (auto& action : actions)
+            action();
+    });
+}
+
+void peer_session::shut(const std::string& why)
+{
+    if (!std::exchange(open_, false))
+        return;
+    stream_.close();
+    output_ready_.notify();
+    for (const auto& [id, target] : std::exchange(streams_, {})) {
+        auto failure = stream_error(*target, NGHTTP2_INTERNAL_ERROR);
+        failure.detail = why;
+        close_stream(target, std::move(failure));
+    }
+    if (auto action = std::exchange(on_close, nullptr))
+        action();
+}
+
+void peer_session::close()
+{
+    shut("closed");
+}
+
+void peer_session::begin_shutdown()
+{
+    if (!open_)
+        return;
+    goaway_ = true;
+    nghttp2_submit_goaway(
+        session_, NGHTTP2_FLAG_NONE,
+        nghttp2_session_get_last_proc_stream_id(session_), NGHTTP2_NO_ERROR,
+        nullptr, 0);
+    flush();
+}
+
+bool peer_session::accepts_streams() const
+{
+    return open_ && !goaway_ &&
+           nghttp2_session_check_request_allowed(session_) != 0;
+}
+
+void peer_session::reset(const stream_ptr& target, std::uint32_t code)
+{
+    if (target->closed || !open_)
+        return;
+    nghttp2_submit_rst_stream(session_, NGHTTP2_FLAG_NONE, target->id, code);
+    close_stream(target, stream_error(*target, code));
+    flush();
+}
+
+void peer_session::cancel(const stream_ptr& target)
+{
+    reset(target, NGHTTP2_CANCEL);
+}
+
+awaitable<void> peer_session::finish_response(
+    std::shared_ptr<peer_session> self, stream_ptr target)
+{
+    const auto is_sent = [&] {
+        return target->closed || (target->head_sent && target->output_finished);
+    };
+    while (!is_sent())
+        co_await target->drained.wait();
+    if (target->closed || target->input_ended)
+        co_return;
+    nghttp2_submit_rst_stream(
+        self->session_, NGHTTP2_FLAG_NONE, target->id, NGHTTP2_NO_ERROR);
+    self->flush();
+}
+
+result<stream_ptr>
+peer_session::open(const streamed_request& request, bool has_body)
+{
+    const auto host = find_header(request.headers, "host");
+    const auto length = std::to_string(request.content_length.value_or(0));
+    field_list fields;
+    fields.add(":method", request.method);
+    fields.add(":scheme", "http");
+    if (host && !host->empty())
+        fields.add(":authority", *host);
+    fields.add(":path", request.target);
+    const bool is_valid = is_token(request.method) && !request.target.empty() &&
+                          request.target.find(' ') == std::string::npos &&
+                          field_list::is_value(request.target) &&
+                          (!host || field_list::is_value(*host)) &&
+                          fields.add_all(request.headers);
+    if (!is_valid)
+        return fail(errc::invalid_argument, "peer.send", peer_name_);
+    if (has_body && request.content_length)
+        fields.add("content-length", length);
+    if (fields.size() > limits_.max_header_bytes)
+        return fail(errc::too_large, "peer.send", peer_name_, "header");
+    nghttp2_data_provider source{};
+    source.read_callback = session_callbacks::read_output;
+    const auto id = nghttp2_submit_request(
+        session_, nullptr, fields.data(), fields.count(),
+        has_body ? &source : nullptr, nullptr);
+    if (id < 0) {
+        return fail(
+            errc::connection_failed, "peer.send", peer_name_,
+            nghttp2_strerror(id));
+    }
+    auto stream = std::make_shared<peer_stream>(executor(), id);
+    stream->output_finished = !has_body;
+    streams_.emplace(id, stream);
+    ++counters_->streams_opened;
+    flush();
+    return stream;
+}
+
+result<void> peer_session::respond(
+    const stream_ptr& target, const streamed_response& response)
+{
+    constexpr int no_content = 204;
+    constexpr int not_modified = 304;
+    if (target->closed)
+        return fail(errc::canceled, "peer.respond", peer_name_);
+    const auto status = std::to_string(response.status);
+    const auto length = std::to_string(response.content_length.value_or(0));
+    field_list fields;
+    fields.add(":status", status);
+    if (response.status < min_final_status || response.status > max_status ||
+        !fields.add_all(response.headers))
+        return fail(errc::invalid_argument, "peer.respond", peer_name_);
+    if (response.content_length && response.status != no_content)
+        fields.add("content-length", length);
+    if (fields.size() > limits_.max_header_bytes)
+        return fail(errc::invalid_argument, "peer.respond", peer_name_);
+    const bool has_body = target->method != "HEAD" &&
+                          response.status != no_content &&
+                          response.status != not_modified;
+    nghttp2_data_provider source{};
+    source.read_callback = session_callbacks::read_output;
+    const auto failed = nghttp2_submit_response(
+        session_, target->id, fields.data(), fields.count(),
+        has_body ? &source : nullptr);
+    if (failed != 0)
+        return fail(errc::internal, "peer.respond", peer_name_);
+    target->output_finished = !has_body;
+    flush();
+    return boost::outcome_v2::success();
+}
+
+void peer_session::send_body(
+    const stream_ptr& target, body_reader body,
+    std::optional<std::uint64_t> content_length)
+{
+    if (target->closed)
+        return;
+    const auto self = shared_from_this();
+    asio::co_spawn(
+        executor(), pump_body(self, target, std::move(body), content_length),
+        asio::bind_cancellation_slot(
+            target->stop_sending.slot(),
+            [self, target](const std::exception_ptr& thrown) {
+                if (thrown)
+                    self->reset(target, NGHTTP2_INTERNAL_ERROR);
+            }));
+}
+
+/// Reads the next piece of a body; checks the end against its length.
+/// @param left bytes left of the declared length, where there is one
+awaitable<result<std::size_t>> peer_session::read_piece(
+    const body_reader& body, std::string& piece,
+    std::optional<std::uint64_t> left)
+{
+    piece.resize(piece_size);
+    auto got = co_await body(asio::buffer(piece));
+    if (!got)
+        co_return got;
+    if (left && got.value() > *left)
+        co_return fail(errc::malformed, "peer.body", {}, "body too long");
+    if (left && got.value() == 0)
+        co_return fail(errc::truncated, "peer.body", {}, "body too short");
+    piece.resize(got.value());
+    co_return got;
+}
+
+/// Waits until the stream's output was taken.
+/// @return whether the stream is still open
+awaitable<bool> peer_session::wait_drained(stream_ptr target)
+{
+    const auto until = clock::now() + limits_.idle_timeout;
+    while (!target->output.empty() && !target->closed) {
+        if (clock::now() >= until)
+            reset(target, NGHTTP2_CANCEL);
+        else
+            co_await target->drained.wait(until);
+    }
+    co_return !target->closed;
+}
+
+awaitable<void> peer_session::pump_body(
+    std::shared_ptr<peer_session> self, stream_ptr target, body_reader body,
+    std::optional<std::uint64_t> content_length)
+{
+    std::string piece;
+    auto left = content_length;
+    while (!target->output_ended) {
+        std::size_t size = 0;
+        if (!left || *left > 0) {
+            const auto got = co_await read_piece(body, piece, left);
+            if (target->closed)
+                co_return;
+            if (!got) {
+                self->fail_body(target, got.error());
+                co_return;
+            }
+            size = got.value();
+        }
+        if (left)
+            *left -= size;
+        std::swap(target->output, piece);
+        target->output.resize(size);
+        target->output_ended = size == 0 || (left && *left == 0);
+        nghttp2_session_resume_data(self->session_, target->id);
+        self->flush();
+        const bool is_open = co_await self->wait_drained(target);
+        if (!is_open)
+            co_return;
+    }
+}
+
+/// Resets a stream whose body failed: the peer must not take the part for
+/// the whole.
+void peer_session::fail_body(const stream_ptr& target, error failure)
+{
+    reset(target, NGHTTP2_INTERNAL_ERROR);
+    if (target->has_head)
+        return;
+    // The head of the request may have been processed.
+    if (failure.code == errc::connection_failed)
+        failure.code = errc::connection_broken;
+    target->failure = std::move(failure);
+}
+
+awaitable<result<void>> peer_session::wait_head(
+    std::shared_ptr<peer_session> self, stream_ptr source, time_point deadline)
+{
+    for (;;) {
+        if (source->has_head)
+            co_return boost::outcome_v2::success();
+        if (source->failure)
+            co_return *source->failure;
+        if (clock::now() >= deadline) {
+            if (!source->head_sent) {
+                co_return fail(
+                    errc::connection_failed, "peer.send", self->peer_name_,
+                    "the deadline passed before the request was sent");
+            }
+            co_return fail(errc::timeout, "peer.send", self->peer_name_);
+        }
+        co_await source->changed.wait(deadline);
+    }
+}
+
+awaitable<result<std::size_t>> peer_session::read_body(
+    std::shared_ptr<peer_session> self, stream_ptr source,
+    asio::mutable_buffer output)
+{
+    if (output.size() == 0)
+        co_return fail(errc::invalid_argument, "peer.body", {}, "no buffer");
+    const auto until = clock::now() + self->limits_.idle_timeout;
+    for (;;) {
+        const auto left = source->input.size() - source->input_start;
+        if (left > 0) {
+            const auto size = std::min(left, output.size());
+            std::memcpy(
+                output.data(), source->input.data() + source->input_start,
+                size);
+            source->input_start += size;
+            if (size == left) {
+                source->input.clear();
+                source->input_start = 0;
+            }
+            if (self->open_ && !source->closed) {
+                nghttp2_session_consume_stream(
+                    self->session_, source->id, size);
+                self->flush();
+            }
+            co_return size;
+        }
+        if (source->input_ended)
+            co_return std::size_t{0};
+        if (source->failure)
+            co_return *source->failure;
+        if (source->closed)
+            co_return fail(errc::truncated, "peer.body", self->peer_name_);
+        if (clock::now() >= until)
+            co_return fail(errc::timeout, "peer.body", self->peer_name_);
+        co_await source->changed.wait(until);
+    }
+}
+
+} // namespace fulmarjunction::detail
--- /dev/null
+++ b/src/peer/session.hpp
@@ -0,0 +1,181 @@
+/// @file
+/// One HTTP/2 connection between two nodes, by nghttp2.
+#pragma once
+
+#include <fulmarjunction/peer/peer.hpp>
+
+#include <http/byte_stream.hpp>
+#include <peer/event.hpp>
+
+#include <boost/asio/cancellation_signal.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+struct nghttp2_session;
+
+namespace fulmarjunction::detail {
+
+class session_callbacks;
+
+/// One request and its response.
+struct peer_stream
+{
+    peer_stream(const boost::asio::any_io_executor& executor, std::int32_t key)
+        : id(key), changed(executor), drained(executor)
+    {
+    }
+
+    std::int32_t id;
+    /// Notified when the head or body bytes arrive, or the stream closes.
+    event changed;
+    /// Notified when `output` was taken, or the stream closes.
+    event drained;
+
+    std::string method;
+    std::string target;
+    std::string authority;
+    int status = 0;
+    header_fields headers;
+    std::size_t header_bytes = 0;
+    bool has_head = false;
+
+    std::string input;
+    std::size_t input_start = 0;
+    bool input_ended = false;
+
+    std::string output;
+    std::size_t output_start = 0;
+    bool output_ended = false;
+    bool output_finished = false;
+
+    /// Whether the head of this side's message has been given to the
+    /// connection.
+    bool head_sent = false;
+    bool closed = false;
+    /// Whether it closed before the response was complete.
+    bool canceled = false;
+    std::optional<error> failure;
+    /// Stops the coroutine that sends the body.
+    boost::asio::cancellation_signal stop_sending;
+    std::vector<std::function<void()>> cancel_actions;
+};
+using stream_ptr = std::shared_ptr<peer_stream>;
+
+/// Returns the value of the field content-length, where it is a number.
+std::optional<std::uint64_t> find_content_length(const header_fields& fields);
+
+enum class session_side
+{
+    client,
+    server
+};
+
+/// Carries concurrent streams over one connection. All members are used on
+/// one thread. The object lives until its reader and writer have ended.
+class peer_session : public std::enable_shared_from_this<peer_session>
+{
+public:
+    /// Takes a request on the server's side.
+    using request_action = std::function<void(stream_ptr)>;
+
+    peer_session(
+        byte_stream stream, session_side side, const peer_limits& limits,
+        std::shared_ptr<peer_counters> counters, std::string peer_name);
+    ~peer_session();
+    peer_session(const peer_session&) = delete;
+    peer_session& operator=(const peer_session&) = delete;
+
+    /// Starts to read and write.
+    void start(request_action on_request = nullptr);
+
+    /// Opens a stream; its head goes out with the next write.
+    result<stream_ptr> open(const streamed_request& request, bool has_body);
+
+    /// Starts the response on a stream.
+    result<void>
+    respond(const stream_ptr& target, const streamed_response& response);
+
+    /// Sends a body on a stream from a coroutine of its own, and resets the
+    /// stream when the body fails or differs from its declared length.
+    void send_body(
+        const stream_ptr& target, body_reader body,
+        std::optional<std::uint64_t> content_length);
+
+    /// Waits for the response's head.
+    static awaitable<result<void>> wait_head(
+        std::shared_ptr<peer_session> self, stream_ptr source,
+        time_point deadline);
+
+    /// Reads body bytes and gives the peer as much room again.
+    static awaitable<result<std::size_t>> read_body(
+        std::shared_ptr<peer_session> self, stream_ptr source,
+        boost::asio::mutable_buffer output);
+
+    /// Resets a stream that the caller has no more use for.
+    void cancel(const stream_ptr& target);
+
+    /// Waits until a response has gone out and, where the request's body
+    /// was not read to its end, tells the peer to stop sending it.
+    static awaitable<void>
+    finish_response(std::shared_ptr<peer_session> self, stream_ptr target);
+
+    /// Sends GOAWAY and closes after the last stream.
+    void begin_shutdown();
+    void close();
+
+    bool is_open() const { return open_; }
+    /// Whether new streams can be opened.
+    bool accepts_streams() const;
+    std::size_t stream_count() const { return streams_.size(); }
+    const std::string& peer_name() const { return peer_name_; }
+    const peer_limits& limits() const { return limits_; }
+    boost::asio::any_io_executor executor();
+
+    /// Largest number of body bytes that a stream has held unread.
+    std::size_t peak_input() const { return peak_input_; }
+
+    /// Called once when the connection has closed.
+    std::function<void()> on_close;
+
+private:
+    friend class session_callbacks;
+
+    static awaitable<void> read_loop(std::shared_ptr<peer_session> self);
+    static awaitable<void> write_loop(std::shared_ptr<peer_session> self);
+    static awaitable<void> pump_body(
+        std::shared_ptr<peer_session> self, stream_ptr target, body_reader body,
+        std::optional<std::uint64_t> content_length);
+    static awaitable<result<std::size_t>> read_piece(
+        const body_reader& body, std::string& piece,
+        std::optional<std::uint64_t> left);
+    awaitable<bool> wait_drained(stream_ptr target);
+    awaitable<void> finish_output();
+    bool collect_output(std::string& output);
+    bool has_work() const;
+    void flush();
+    void reset(const stream_ptr& target, std::uint32_t code);
+    void fail_body(const stream_ptr& target, error failure);
+    void close_stream(const stream_ptr& target, error failure);
+    void shut(const std::string& why);
+    stream_ptr find(std::int32_t id) const;
+    error stream_error(const peer_stream& source, std::uint32_t code) const;
+
+    byte_stream stream_;
+    session_side side_;
+    peer_limits limits_;
+    std::shared_ptr<peer_counters> counters_;
+    std::string peer_name_;
+    nghttp2_session* session_ = nullptr;
+    std::map<std::int32_t, stream_ptr> streams_;
+    request_action on_request_;
+    event output_ready_;
+    std::size_t peak_input_ = 0;
+    bool open_ = true;
+    bool goaway_ = false;
+};
+
+} // namespace fulmarjunction::detail
