--- a/include/fulmarjunction/serving/backend_gate.hpp
+++ b/include/fulmarjunction/serving/backend_gate.hpp
@@ -11,6 +11,7 @@
 #include <fulmarjunction/serving/cancel_event.hpp>
 #include <fulmarjunction/serving/context_codec.hpp>
 #include <fulmarjunction/serving/in_flight.hpp>
+#include <fulmarjunction/suspects/suspects.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -19,6 +20,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -36,39 +38,16 @@
     bool draining = false;
 };
 
-/// How a request that might crash the backend server is to be treated.
-enum class isolation
-{
-    none,
-    run_alone,
-    refuse
-};
-
-/// Decisions about requests that crash backend servers.
-struct isolation_hooks
-{
-    /// Returns how to treat a request, by its fingerprint.
-    std::function<isolation(std::uint64_t fingerprint)> classify;
-    /// The backend server failed while these requests were running.
-    std::function<void(const std::vector<std::uint64_t>& fingerprints)> crashed;
-    /// The request ended without a crash.
-    std::function<void(std::uint64_t fingerprint)> survived;
-};
-
-/// Returns the fingerprint of a request: the same for every resend of it.
-std::uint64_t request_fingerprint(
-    const request_context& context, std::string_view method,
-    std::string_view target, std::string_view body_prefix);
-
 /// Admits requests and passes them to the backend server.
 class backend_gate : public std::enable_shared_from_this<backend_gate>
 {
 public:
     /// @param timers drives the admission's periodic work
+    /// @param suspects requests that may crash the backend server
     backend_gate(
         const boost::asio::any_io_executor& executor,
         const admission_settings& settings, timer_service& timers,
-        isolation_hooks isolation);
+        suspect_list& suspects);
     ~backend_gate();
     backend_gate(const backend_gate&) = delete;
     backend_gate& operator=(const backend_gate&) = delete;
@@ -103,18 +82,22 @@
     admit(admission_request offered, cancel_event canceled);
     awaitable<streamed_response>
     run(request_context context, streamed_request request,
-        cancel_event canceled, std::uint64_t id, std::uint64_t fingerprint);
+        cancel_event canceled, std::uint64_t id, fingerprint print);
     awaitable<streamed_response>
     pass_on(std::shared_ptr<run_guard> guard, streamed_request request);
     streamed_response failed_answer(run_guard& guard, const error& problem);
-    awaitable<void> wait_for_turn(cancel_event canceled, bool alone);
+    awaitable<bool> wait_for_turn(
+        std::uint64_t id, bool alone, time_point deadline,
+        cancel_event canceled);
     answer_notes notes_of(const running_request& request) const;
     admission_level level_for(const request_context& context) const;
+    std::optional<fingerprint> suspect_running() const;
     void check_for_crash();
 
     boost::asio::any_io_executor executor_;
     admission_controller admission_;
-    isolation_hooks isolation_;
+    suspect_list& suspects_;
+    suspect_gate alone_;
     in_flight_table running_;
     std::unique_ptr<http_client> client_;
     backend_report announcement_;
@@ -122,8 +105,8 @@
     bool was_ready_ = false;
     std::uint64_t next_id_ = 1;
     std::unordered_map<std::uint64_t, std::shared_ptr<waiter>> waiters_;
-    std::unordered_map<std::uint64_t, std::uint64_t> running_fingerprints_;
-    std::size_t suspects_here_ = 0;
+    std::unordered_map<std::uint64_t, fingerprint> running_fingerprints_;
+    std::set<std::uint64_t> expired_suspects_;
     time_point crash_checked_at_{};
     timer_service::subscription ticks_;
 };
--- a/include/fulmarjunction/serving/context_codec.hpp
+++ b/include/fulmarjunction/serving/context_codec.hpp
@@ -3,6 +3,7 @@
 /// between nodes.
 #pragma once
 
+#include <fulmarjunction/admission/endpoint_levels.hpp>
 #include <fulmarjunction/core/message.hpp>
 #include <fulmarjunction/core/request_context.hpp>
 
@@ -23,9 +24,8 @@
     std::optional<double> level;
     /// Load in [0, 1] as the instance reports it.
     std::optional<double> load;
-    /// A call that was made for the request was refused as overloaded, so
-    /// the work done above it was wasted.
-    bool refused_below = false;
+    /// What the calls that were made for the request met.
+    below_observation below;
 };
 
 /// Adds the context's fields; the deadline travels as remaining time, so
--- a/include/fulmarjunction/serving/dispatcher.hpp
+++ b/include/fulmarjunction/serving/dispatcher.hpp
@@ -10,6 +10,7 @@
 #include <fulmarjunction/serving/backend_gate.hpp>
 #include <fulmarjunction/serving/body.hpp>
 #include <fulmarjunction/serving/cancel_event.hpp>
+#include <fulmarjunction/suspects/suspects.hpp>
 
 #include <functional>
 #include <memory>
@@ -39,8 +40,10 @@
     std::optional<streamed_response> response;
     /// Why there is no answer, when `response` is empty.
     refusal why;
-    /// A call deeper in the chain was refused as overloaded.
-    bool refused_below = false;
+    /// What calls deeper in the chain met.
+    below_observation below;
+    /// Admission level of the instance that was called last.
+    admission_level level = 0;
 
     /// Returns why there is no answer, or nothing when there is one.
     std::optional<refusal> failure() const
@@ -68,11 +71,13 @@
         std::shared_ptr<backend_gate> gate;
         /// Returns the address of an instance's node.
         std::function<std::optional<peer_address>(const instance_name&)> locate;
-        /// Returns an instance that is to be used for a request that may
-        /// crash backend servers; nothing for an ordinary request.
-        std::function<std::optional<instance_name>(
-            const service_name&, std::uint64_t fingerprint)>
-            place_suspect;
+        /// Decides about a request that may crash backend servers.
+        std::function<suspect_decision(
+            const service_name& service, fingerprint print)>
+            classify;
+        /// An instance answered that its backend server failed.
+        std::function<void(fingerprint print, const instance_name& instance)>
+            backend_failed;
     };
 
     dispatcher(const boost::asio::any_io_executor& executor, parts wiring);
@@ -93,11 +98,12 @@
 
 private:
     struct attempt;
+    struct sent_answer;
 
     awaitable<attempt> try_instance(
         outgoing_call& call, const instance_name& instance,
         std::uint32_t handed, cancel_event canceled);
-    awaitable<streamed_response> send(
+    awaitable<sent_answer> send(
         const instance_name& instance, request_context context,
         streamed_request request, cancel_event canceled);
 
--- a/include/fulmarjunction/serving/entry.hpp
+++ b/include/fulmarjunction/serving/entry.hpp
@@ -34,7 +34,8 @@
     /// Returns why a root cannot finish now, if so.
     std::function<std::optional<refusal>(const entry_root& root)> refuse_early;
     /// Tells how a root ended.
-    std::function<void(const entry_root& root, bool refused_below)> ended;
+    std::function<void(const entry_root& root, const below_observation& seen)>
+        ended;
     /// Runs a unique request at the issuer of its idempotency key.
     std::function<awaitable<call_answer>(
         outgoing_call call, retry_budget& budget, cancel_event canceled)>
--- a/include/fulmarjunction/serving/in_flight.hpp
+++ b/include/fulmarjunction/serving/in_flight.hpp
@@ -2,6 +2,7 @@
 /// Requests that run on this node's backend server, by their tokens.
 #pragma once
 
+#include <fulmarjunction/admission/endpoint_levels.hpp>
 #include <fulmarjunction/core/request_context.hpp>
 #include <fulmarjunction/retry/retry_budget.hpp>
 #include <fulmarjunction/serving/cancel_event.hpp>
@@ -27,8 +28,8 @@
     request_context context;
     /// Extra attempts left for the calls that it makes.
     retry_budget budget;
-    /// A call that it made was refused as overloaded.
-    bool refused_below = false;
+    /// What the calls that it made met.
+    below_observation below;
     /// Happens when the request ends, so that its calls end too.
     cancel_event canceled;
 };
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -272,13 +272,20 @@
 void node::impl::build_serving()
 {
     gate_ = std::make_shared<backend_gate>(
-        executor_, settings_.admission, state_->timers, isolation_hooks{});
+        executor_, settings_.admission, state_->timers, state_->suspects);
     gate_->on_change = [this] { report_backend(); };
     dispatcher::parts wiring;
     wiring.self = settings_.name;
     wiring.instances = &state_->routes;
     wiring.peers = peer_client_.get();
     wiring.gate = gate_;
+    wiring.classify = [this](const service_name& service, fingerprint print) {
+        return state_->classify(service, print, clock::now());
+    };
+    wiring.backend_failed =
+        [this](fingerprint print, const instance_name& instance) {
+            state_->suspects.attempt_failed(print, instance, clock::now());
+        };
     wiring.locate = [this](const instance_name& name) {
         return state_->locate(name);
     };
@@ -311,9 +318,10 @@
             return std::nullopt;
         return refusal{outcome::not_run, refusal_reason::overloaded, 1000};
     };
-    callers.hooks.ended = [this](const entry_root& root, bool refused_below) {
-        state_->levels.ended(root, refused_below, clock::now());
-    };
+    callers.hooks.ended =
+        [this](const entry_root& root, const below_observation& seen) {
+            state_->levels.ended(root, seen, clock::now());
+        };
     entry_ = std::make_unique<entry>(executor_, std::move(callers));
     egress_ = std::make_unique<egress>(
         executor_,
--- a/src/daemon/node_state.cpp
+++ b/src/daemon/node_state.cpp
@@ -1,5 +1,7 @@
 #include "node_state.hpp"
 
+#include "suspect_reports.hpp"
+
 #include <fulmarjunction/core/log.hpp>
 
 #include <boost/json.hpp>
@@ -102,7 +104,8 @@
       issuer(
           to_issuer(given), self.name, self.life,
           derive_key_secret(secrets.peer), now),
-      routes(self.zone, make_random()), levels(make_random())
+      routes(self.zone, make_random()), levels(make_random()),
+      suspects(suspect_settings{}, self.name, self.life)
 {
     rows.observe(
         [this](const table_row& changed) { apply(changed, clock::now()); });
@@ -112,6 +115,7 @@
     });
     for (const auto& seed : given.peers.seeds)
         members.add_seed(to_text(seed));
+    attach_suspects();
 }
 
 void node_state::apply(const table_row& changed, time_point now)
@@ -205,8 +209,7 @@
             live.push_back({name, found->record.zone, found->record.life});
     }
     rates.set_members(
-        std::make_shared<const std::vector<rate_member>>(std::move(live)),
-        now);
+        std::make_shared<const std::vector<rate_member>>(std::move(live)), now);
     evidence.set_zones(members.zones());
 }
 
@@ -233,6 +236,48 @@
     return peer_address{name, *address};
 }
 
+suspect_decision node_state::classify(
+    const service_name& service, fingerprint print, time_point now) const
+{
+    // Nearly always nothing is under suspicion, and the list of instances
+    // need not be made.
+    if (suspects.size() == 0)
+        return {};
+    std::vector<instance_name> instances;
+    for (const auto& one : members.candidates(service))
+        instances.push_back(one.name);
+    return suspects.decide(print, instances, now);
+}
+
+void node_state::attach_suspects()
+{
+    // Each neighbour gets what changed since it was last told; expiry makes
+    // up for a message that was lost.
+    const auto told =
+        std::make_shared<std::map<instance_name, std::uint64_t>>();
+    members.attach_section(
+        "suspects",
+        [this, told](const instance_name& to)
+            -> std::optional<boost::json::value> {
+            auto& last = (*told)[to];
+            if (last == suspects.last_change())
+                return std::nullopt;
+            const auto reports = suspects.changes(
+                last, suspect_reports_per_probe, clock::now());
+            last = suspects.last_change();
+            return to_json(reports);
+        },
+        [this](const instance_name&, const boost::json::value& section) {
+            const auto reports = parse_suspect_reports(section);
+            if (!reports)
+                return;
+            for (const auto& report : reports.value())
+                suspects.merge(report, clock::now());
+        });
+    expiry_ = timers.every(
+        seconds(1), [this](time_point now) { suspects.expire(now); });
+}
+
 const handover_row* node_state::successor_of(
     const instance_name& issuer_name, incarnation life) const
 {
--- a/src/daemon/node_state.hpp
+++ b/src/daemon/node_state.hpp
@@ -13,6 +13,7 @@
 #include <fulmarjunction/routing/balancer.hpp>
 #include <fulmarjunction/serving/dispatcher.hpp>
 #include <fulmarjunction/settings/settings.hpp>
+#include <fulmarjunction/suspects/suspects.hpp>
 #include <fulmarjunction/unique/key_issuer.hpp>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -54,6 +55,10 @@
     /// Returns where the node of an instance listens for peers.
     std::optional<peer_address> locate(const instance_name& name) const;
 
+    /// Decides about a request that may crash backend servers.
+    suspect_decision classify(
+        const service_name& service, fingerprint print, time_point now) const;
+
     /// Returns the successor to which an issuer handed over its keys.
     const handover_row*
     successor_of(const instance_name& issuer, incarnation life) const;
@@ -71,6 +76,7 @@
     key_issuer issuer;
     balancer routes;
     endpoint_levels levels;
+    suspect_list suspects;
     /// Version of the replica that each neighbour is known to hold.
     std::map<instance_name, table_version> known_versions;
 
@@ -79,11 +85,13 @@
     void refresh_plans(time_point now);
     void refresh_members(time_point now);
     void refresh_routes(time_point now);
+    void attach_suspects();
 
     using issuer_life = std::pair<instance_name, incarnation>;
     std::map<issuer_life, handover_row> handovers_;
     std::set<client_account> accounts_with_plan_;
     std::set<service_name> changed_services_;
+    timer_service::subscription expiry_;
     bool plans_changed_ = false;
     bool members_changed_ = true;
 };
--- a/src/daemon/unique_runner.cpp
+++ b/src/daemon/unique_runner.cpp
@@ -181,10 +181,10 @@
             body = is_whole ? read.value().prefix : std::string();
             answer.response->body = read.value().open();
         } else {
-            const bool refused_below = answer.refused_below;
-            answer =
-                refusal{outcome::unknown, refusal_reason::backend_failed, 0};
-            answer.refused_below = refused_below;
+            call_answer broken(
+                refusal{outcome::unknown, refusal_reason::backend_failed, 0});
+            broken.below = answer.below;
+            answer = std::move(broken);
         }
     }
     state_.issuer.finish(key, keep(answer, body, is_whole), clock::now());
@@ -275,7 +275,7 @@
     auto answer = co_await run_here(
         std::move(call), budget, cancel_event(executor_), false);
     notes.retries_unspent = budget.left();
-    notes.refused_below = answer.refused_below;
+    notes.below = answer.below;
     if (!answer.response)
         co_return refusal_answer(answer.why, notes);
     strip_internal_fields(answer.response->headers);
--- a/src/serving/backend_gate.cpp
+++ b/src/serving/backend_gate.cpp
@@ -6,7 +6,6 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <xxhash.h>
 
 #include <algorithm>
 #include <utility>
@@ -37,17 +36,6 @@
 
 } // namespace
 
-std::uint64_t request_fingerprint(
-    const request_context& context, std::string_view method,
-    std::string_view target, std::string_view body_prefix)
-{
-    auto hash = XXH3_64bits(context.account.data(), context.account.size());
-    for (const std::string_view part :
-         {std::string_view(context.endpoint), method, target, body_prefix})
-        hash = XXH3_64bits_withSeed(part.data(), part.size(), hash);
-    return hash;
-}
-
 /// A request that waits for admission.
 struct backend_gate::waiter
 {
@@ -62,9 +50,9 @@
 {
 public:
     run_guard(
-        std::shared_ptr<backend_gate> gate, std::uint64_t id,
-        std::uint64_t fingerprint, std::shared_ptr<running_request> request)
-        : gate_(std::move(gate)), id_(id), fingerprint_(fingerprint),
+        std::shared_ptr<backend_gate> gate, std::uint64_t id, fingerprint print,
+        std::shared_ptr<running_request> request)
+        : gate_(std::move(gate)), id_(id), fingerprint_(print),
           request_(std::move(request)), token_(gate_->running_.add(request_))
     {
         gate_->running_fingerprints_.emplace(id_, fingerprint_);
@@ -76,8 +64,8 @@
     {
         gate_->running_.remove(token_);
         gate_->running_fingerprints_.erase(id_);
-        if (how_ == completion::succeeded && gate_->isolation_.survived)
-            gate_->isolation_.survived(fingerprint_);
+        if (how_ == completion::succeeded)
+            gate_->suspects_.finished(fingerprint_, clock::now());
         request_->canceled.cancel();
         gate_->finish(id_, how_);
     }
@@ -89,7 +77,7 @@
 private:
     std::shared_ptr<backend_gate> gate_;
     std::uint64_t id_;
-    std::uint64_t fingerprint_;
+    fingerprint fingerprint_;
     std::shared_ptr<running_request> request_;
     std::string token_;
     completion how_ = completion::canceled;
@@ -97,9 +85,9 @@
 
 backend_gate::backend_gate(
     const asio::any_io_executor& executor, const admission_settings& settings,
-    timer_service& timers, isolation_hooks isolation)
+    timer_service& timers, suspect_list& suspects)
     : executor_(executor), admission_(settings, clock::now()),
-      isolation_(std::move(isolation))
+      suspects_(suspects), alone_(suspect_settings{})
 {
     ticks_ = timers.every(admission_tick, [this](time_point now) {
         apply(admission_.tick(now));
@@ -209,12 +197,10 @@
         co_return refusal_answer(
             {outcome::not_run, refusal_reason::malformed, 0}, notes);
     }
-    const auto fingerprint = request_fingerprint(
-        context, request.method, request.target, body.value().prefix);
-    const auto treatment = isolation_.classify
-                               ? isolation_.classify(fingerprint)
-                               : isolation::none;
-    if (treatment == isolation::refuse) {
+    const auto print = fingerprint_of(
+        context.account, context.endpoint, request.target, body.value().prefix);
+    const auto treatment = suspects_.decide_here(print, clock::now());
+    if (treatment.action == suspect_action::refuse) {
         co_return refusal_answer(
             {outcome::not_run, refusal_reason::suspect_request, 0}, notes);
     }
@@ -228,26 +214,42 @@
         notes.level = level_for(context);
         co_return refusal_answer(*refused, notes);
     }
-    const bool alone = treatment == isolation::run_alone;
-    co_await wait_for_turn(canceled, alone);
+    const bool alone = treatment.action == suspect_action::run_alone;
+    if (!co_await wait_for_turn(id, alone, context.deadline, canceled)) {
+        finish(id, completion::refused);
+        co_return refusal_answer(
+            {outcome::not_run, refusal_reason::overloaded, 0}, notes);
+    }
     auto response = co_await run(
-        std::move(context), std::move(request), std::move(canceled), id,
-        fingerprint);
+        std::move(context), std::move(request), std::move(canceled), id, print);
     if (alone)
-        --suspects_here_;
+        alone_.ended(id, clock::now());
     co_return response;
 }
 
-awaitable<void> backend_gate::wait_for_turn(cancel_event canceled, bool alone)
+awaitable<bool> backend_gate::wait_for_turn(
+    std::uint64_t id, bool alone, time_point deadline, cancel_event canceled)
 {
     // A request that may crash the backend server must not take others down
     // with it, and the others must not be blamed for its crash.
-    const auto is_blocked = [this, alone] {
-        return alone ? running_.size() != 0 : suspects_here_ != 0;
-    };
-    if (alone)
-        ++suspects_here_;
-    while (is_blocked() && !canceled.is_canceled()) {
+    if (alone && !alone_.offer(id, clock::now()))
+        co_return false;
+    for (;;) {
+        const auto now = clock::now();
+        if (!alone && !alone_.blocks_others(now))
+            co_return true;
+        for (const auto expired : alone_.take_expired(now))
+            expired_suspects_.insert(expired);
+        if (expired_suspects_.erase(id) != 0)
+            co_return false;
+        alone_.next(running_.size(), now);
+        if (alone && alone_.running() == id)
+            co_return true;
+        if (canceled.is_canceled() || now >= deadline) {
+            if (alone)
+                alone_.ended(id, now);
+            co_return false;
+        }
         asio::steady_timer timer(executor_, alone_poll);
         co_await timer.async_wait(asio::use_awaitable);
     }
@@ -255,7 +257,7 @@
 
 awaitable<streamed_response> backend_gate::run(
     request_context context, streamed_request request, cancel_event canceled,
-    std::uint64_t id, std::uint64_t fingerprint)
+    std::uint64_t id, fingerprint print)
 {
     const auto deadline = context.deadline;
     auto running =
@@ -264,8 +266,8 @@
     // caller, so they get an event of their own.
     running->canceled = cancel_event(executor_);
     canceled.on_cancel([children = running->canceled] { children.cancel(); });
-    const auto guard = std::make_shared<run_guard>(
-        shared_from_this(), id, fingerprint, running);
+    const auto guard =
+        std::make_shared<run_guard>(shared_from_this(), id, print, running);
 
     const auto left = to_milliseconds(deadline - clock::now());
     if (left <= 0) {
@@ -342,34 +344,47 @@
     answer_notes notes;
     notes.retries_unspent = request.budget.left();
     notes.level = level_for(request.context);
-    notes.refused_below = request.refused_below;
+    notes.below = request.below;
     notes.load = std::clamp(announcement_.load, 0.0, 1.0);
     return notes;
 }
 
+std::optional<fingerprint> backend_gate::suspect_running() const
+{
+    const auto id = alone_.running();
+    const auto found =
+        id ? running_fingerprints_.find(*id) : running_fingerprints_.end();
+    if (found == running_fingerprints_.end())
+        return std::nullopt;
+    return found->second;
+}
+
 void backend_gate::check_for_crash()
 {
     // All connections of a crashed backend server break together, so what
     // is still marked as running when the first one breaks ran with it.
     const auto now = clock::now();
-    if (!isolation_.crashed || now - crash_checked_at_ < crash_check_pause)
+    if (now - crash_checked_at_ < crash_check_pause)
         return;
     crash_checked_at_ = now;
     asio::co_spawn(
         executor_,
         [self = shared_from_this(), address = announcement_.address,
-         running = running_fingerprints_]() -> awaitable<void> {
+         running = running_fingerprints_,
+         alone = suspect_running()]() -> awaitable<void> {
             asio::ip::tcp::socket socket(self->executor_);
             boost::system::error_code problem;
             co_await socket.async_connect(
                 address, asio::redirect_error(asio::use_awaitable, problem));
             if (!problem)
                 co_return;
-            std::vector<std::uint64_t> fingerprints;
-            fingerprints.reserve(running.size());
-            for (const auto& [id, fingerprint] : running)
-                fingerprints.push_back(fingerprint);
-            self->isolation_.crashed(fingerprints);
+            std::vector<fingerprint> prints;
+            prints.reserve(running.size());
+            for (const auto& [id, print] : running)
+                prints.push_back(print);
+            log(log_level::warning, "backend_crashed",
+                {{"in_flight", prints.size()}});
+            self->suspects_.crashed(prints, alone, clock::now());
             self->announced_at_ = {};
         },
         asio::detached);
--- a/src/serving/dispatcher.cpp
+++ b/src/serving/dispatcher.cpp
@@ -43,6 +43,16 @@
 {
     call_answer answer;
     std::uint32_t unspent = 0;
+    /// The node of the instance said that its backend server failed.
+    bool backend_failed = false;
+};
+
+/// The answer to one sending.
+struct dispatcher::sent_answer
+{
+    streamed_response answer;
+    /// It was made here, because none came from the instance.
+    bool is_substitute = false;
 };
 
 dispatcher::dispatcher(
@@ -55,12 +65,13 @@
     outgoing_call call, retry_budget& budget, cancel_event canceled)
 {
     const auto priority = priority_of(call.context.rank, call.context.root);
-    const auto fingerprint = request_fingerprint(
-        call.context, call.method, call.target, call.body.prefix);
-    const auto suspect_place =
-        parts_.place_suspect
-            ? parts_.place_suspect(call.context.service, fingerprint)
-            : std::nullopt;
+    const auto print = fingerprint_of(
+        call.context.account, call.context.endpoint, call.target,
+        call.body.prefix);
+    const auto treatment = parts_.classify(call.context.service, print);
+    if (treatment.action == suspect_action::refuse) {
+        co_return refusal{outcome::not_run, refusal_reason::suspect_request, 0};
+    }
     const routing_request wanted{
         call.context.service, priority,
         admission_flow{call.context.account, call.context.invested}};
@@ -73,8 +84,9 @@
         if (now >= call.context.deadline || canceled.is_canceled())
             co_return last;
         auto choice = parts_.instances->choose(wanted, tried, now);
-        if (suspect_place && tried.empty())
-            choice.instance = suspect_place;
+        const bool is_suspect = treatment.action == suspect_action::run_alone;
+        if (is_suspect)
+            choice.instance = treatment.instance;
         if (!choice.instance && tried.empty())
             co_return choice.why;
         if (!choice.instance)
@@ -83,6 +95,8 @@
         auto tried_once =
             co_await try_instance(call, *choice.instance, handed, canceled);
         budget.give_back(handed, tried_once.unspent);
+        if (tried_once.backend_failed)
+            parts_.backend_failed(print, *choice.instance);
         last = std::move(tried_once.answer);
         if (last.response)
             co_return last;
@@ -93,7 +107,7 @@
         may_have_run = may_have_run || last.why.what == outcome::unknown;
         if (may_have_run)
             last.why.what = outcome::unknown;
-        if (suspect_place || !may_retry(failed) || !budget.spend())
+        if (is_suspect || !may_retry(failed) || !budget.spend())
             co_return last;
         ++retries_;
         tried.insert(*choice.instance);
@@ -113,8 +127,9 @@
 
     const auto started = clock::now();
     parts_.instances->sent(instance, started);
-    auto answer = co_await send(
+    auto received = co_await send(
         instance, std::move(context), std::move(request), canceled);
+    auto& answer = received.answer;
     auto notes = take_notes(answer.headers);
     if (!notes)
         notes = answer_notes{outcome::unknown, refusal_reason::backend_failed};
@@ -131,7 +146,8 @@
     if (notes.value().what == outcome::answered) {
         answer.body = with_end_hook(std::move(answer.body), ended);
         attempt answered{std::move(answer), unspent};
-        answered.answer.refused_below = notes.value().refused_below;
+        answered.answer.below = notes.value().below;
+        answered.answer.level = notes.value().level.value_or(0);
         co_return answered;
     }
     ended(false);
@@ -140,21 +156,26 @@
         notes.value().reason.value_or(refusal_reason::backend_failed),
         notes.value().retry_after_ms};
     attempt refused{why, unspent};
-    refused.answer.refused_below = notes.value().refused_below;
+    refused.answer.below = notes.value().below;
+    refused.answer.level = notes.value().level.value_or(0);
+    refused.backend_failed = !received.is_substitute &&
+                             why.what == outcome::unknown &&
+                             why.reason == refusal_reason::backend_failed;
     co_return refused;
 }
 
-awaitable<streamed_response> dispatcher::send(
+awaitable<dispatcher::sent_answer> dispatcher::send(
     const instance_name& instance, request_context context,
     streamed_request request, cancel_event canceled)
 {
     if (instance == parts_.self) {
-        co_return co_await parts_.gate->serve(
-            std::move(context), std::move(request), canceled);
+        co_return sent_answer{co_await parts_.gate->serve(
+            std::move(context), std::move(request), canceled)};
     }
     const auto to = parts_.locate(instance);
     if (!to)
-        co_return failure_answer(error{errc::connection_failed, "locate"});
+        co_return sent_answer{
+            failure_answer(error{errc::connection_failed, "locate"}), true};
     const auto deadline = context.deadline + answer_grace;
     strip_internal_fields(request.headers);
     write_context(request.headers, context, clock::now());
@@ -165,11 +186,11 @@
     if (!answer) {
         log(log_level::info, "call_failed",
             {{"peer", instance}, {"error", to_string(answer.error())}});
-        co_return failure_answer(answer.error());
+        co_return sent_answer{failure_answer(answer.error()), true};
     }
     answer.value().body = with_idle_limit(
         std::move(answer.value().body), executor_, body_idle_limit, instance);
-    co_return std::move(answer.value());
+    co_return sent_answer{std::move(answer.value())};
 }
 
 awaitable<call_answer> dispatcher::send_to_peer(
@@ -188,14 +209,18 @@
     if (retries_unspent != nullptr)
         *retries_unspent = notes.value().retries_unspent;
     if (notes.value().what != outcome::answered) {
-        co_return refusal{
+        call_answer refused(refusal{
             notes.value().what,
             notes.value().reason.value_or(refusal_reason::backend_failed),
-            notes.value().retry_after_ms};
+            notes.value().retry_after_ms});
+        refused.below = notes.value().below;
+        co_return refused;
     }
     answer.value().body = with_idle_limit(
         std::move(answer.value().body), executor_, body_idle_limit, to.name);
-    co_return std::move(answer.value());
+    call_answer answered(std::move(answer.value()));
+    answered.below = notes.value().below;
+    co_return answered;
 }
 
 } // namespace fulmarjunction
--- a/src/serving/egress.cpp
+++ b/src/serving/egress.cpp
@@ -141,8 +141,9 @@
     auto answer = co_await run(definition, std::move(request), parent);
     const bool is_overloaded =
         !answer.response && answer.why.reason == refusal_reason::overloaded;
-    if (is_overloaded || answer.refused_below)
-        parent->refused_below = true;
+    auto& below = parent->below;
+    below.refused = below.refused || is_overloaded || answer.below.refused;
+    below.level = std::max({below.level, answer.level, answer.below.level});
     counters_.count(answer.failure());
     if (!answer.response)
         co_return caller_refusal(answer.why, id);
--- a/src/serving/entry.cpp
+++ b/src/serving/entry.cpp
@@ -330,7 +330,7 @@
                   std::move(call), budget, canceled)
             : co_await parts_.calls->call(std::move(call), budget, canceled);
     if (parts_.hooks.ended) {
-        parts_.hooks.ended(root, answer.refused_below);
+        parts_.hooks.ended(root, answer.below);
     }
     co_return answer;
 }
