Skip quiet accounts when planning ledger changes; probe with few questions

Change: an account with nothing due is looked at once a second; after an exhaustion two holders are asked until one has tokens to spare.

--- a/src/rates/borrower.cpp
+++ b/src/rates/borrower.cpp
@@ -28,6 +28,12 @@
 /// How long after a pause only one holder is asked at a time.
 constexpr duration probing_memory = seconds(10);
 
+/// Denials after which requests are refused while probing.
+constexpr std::uint32_t probing_denials = 2;
+
+/// Tokens left at a holder that end the probing.
+constexpr std::uint32_t plenty_left = 2;
+
 /// Part of a loan's life after which unspent tokens are returned. The rest
 /// is left for the message to arrive.
 constexpr double return_after = 0.75;
@@ -285,7 +291,6 @@
         probing_until_ = paused_until_ + probing_memory;
     }
     denials_ = 0;
-    probe_denied_ = false;
     refuse_all(retry, effects, counters);
 }
 
@@ -294,7 +299,7 @@
     rate_effects& effects, rate_counters& counters)
 {
     const bool probing = now < probing_until_;
-    if (probing && probe_denied_ && has_waiting()) {
+    if (probing && denials_ >= probing_denials && has_waiting()) {
         refuse_exhausted(view, now, effects, counters);
         return;
     }
@@ -350,7 +355,9 @@
             {from, message.id, message.tokens, expires, return_at});
         denials_ = 0;
         paused_until_ = now;
-        probing_until_ = now;
+        // A holder with little left shows that the account is still short.
+        if (message.left >= plenty_left)
+            probing_until_ = now;
     }
     if (holder == holders_.end())
         return true;
@@ -365,7 +372,6 @@
                                        settings.longest_pause);
     if (open.needed != 0 && message.tokens == 0) {
         ++denials_;
-        probe_denied_ = true;
     }
     return true;
 }
--- a/src/rates/borrower.hpp
+++ b/src/rates/borrower.hpp
@@ -151,8 +151,6 @@
     /// holder at a time until a loan is given or the memory ends.
     time_point paused_until_;
     time_point probing_until_;
-    /// A denied question while probing.
-    bool probe_denied_ = false;
     std::uint64_t expired_tokens_ = 0;
 };
 
--- a/src/rates/ledger_keeper.cpp
+++ b/src/rates/ledger_keeper.cpp
@@ -19,6 +19,9 @@
 /// How long a node keeps a second share that another should hold.
 constexpr duration crowded_for = seconds(5);
 
+/// How often an account is looked at for which nothing is due.
+constexpr duration quiet_period = seconds(1);
+
 /// A change without a result counts as in doubt after this time.
 constexpr duration change_timeout = seconds(10);
 
@@ -89,6 +92,7 @@
         return false;
     ledger_ = std::move(ledger);
     version_ = version;
+    wake();
     // A write that needed an older version cannot arrive any more.
     std::erase_if(bounds_, [version](const bound& lower) {
         return lower.expected < version;
@@ -155,11 +159,13 @@
 }
 
 /// Gives up what the plan does not provide for any more.
-void ledger_keeper::draft_lower(draft& change, const keeper_view& view) const
+void ledger_keeper::draft_lower(draft& change, const keeper_view& view)
 {
     const auto left = usable(view);
-    if (view.lent * 1000 > static_cast<double>(left.burst))
+    if (view.lent * 1000 > static_cast<double>(left.burst)) {
+        waits_for_loans_ = true;
         return;
+    }
     for (const auto& entry : ledger_.shares) {
         if (!is_own(entry, view))
             continue;
@@ -315,9 +321,10 @@
 {
     if (pending_ && now - pending_->since >= change_timeout)
         pending_.reset();
-    if (pending_ || now < retry_at_)
+    if (pending_ || now < retry_at_ || now < quiet_until_)
         return std::nullopt;
     draft change{ledger_, std::nullopt, {}};
+    waits_for_loans_ = false;
     draft_lower(change, view);
     draft_removal(change, view, now);
     const bool raising =
@@ -334,8 +341,13 @@
             draft_rebalance(change, view, now);
         }
     }
-    if (!change.step)
+    if (!change.step) {
+        // Nothing is free and nothing is to be given up: only a lapse, which
+        // takes seconds, can make a change due without a call of `wake`.
+        if (free_since_.empty() && !waits_for_loans_)
+            quiet_until_ = now + quiet_period;
         return std::nullopt;
+    }
     pending_ = pending_change{id, change.ledger, now};
     return make_change(std::move(change), view, id);
 }
--- a/src/rates/ledger_keeper.hpp
+++ b/src/rates/ledger_keeper.hpp
@@ -34,7 +34,15 @@
 class ledger_keeper
 {
 public:
-    void set_plan(const std::optional<account_plan>& plan) { plan_ = plan; }
+    void set_plan(const std::optional<account_plan>& plan)
+    {
+        plan_ = plan;
+        wake();
+    }
+    /// Returns whether `plan_change` would return nothing now.
+    bool is_quiet(time_point now) const { return now < quiet_until_; }
+    /// Something changed that may make a change due at once.
+    void wake() { quiet_until_ = time_point::min(); }
     const std::optional<account_plan>& plan() const { return plan_; }
 
     /// Takes a row; older versions than the known one are ignored.
@@ -82,7 +90,7 @@
     bool is_kept(const share_entry& entry, const keeper_view& view) const;
     share_amount
     own_sum(const share_ledger& ledger, const keeper_view& view) const;
-    void draft_lower(draft& change, const keeper_view& view) const;
+    void draft_lower(draft& change, const keeper_view& view);
     void
     draft_removal(draft& change, const keeper_view& view, time_point now) const;
     void draft_claims(draft& change, const keeper_view& view, time_point now);
@@ -101,6 +109,9 @@
     std::vector<bound> bounds_;
     std::optional<pending_change> pending_;
     time_point retry_at_;
+    time_point quiet_until_ = time_point::min();
+    /// Whether a lower amount waits until loans have ended.
+    bool waits_for_loans_ = false;
     /// Since when each index has been free for this node's eyes.
     std::map<std::uint32_t, time_point> free_since_;
     std::optional<time_point> crowded_since_;
--- a/src/rates/rate_limiter.cpp
+++ b/src/rates/rate_limiter.cpp
@@ -345,6 +345,8 @@
             account->bucket.clear(now);
         }
         ++epoch_;
+        for (auto& [name, account] : accounts_)
+            account->keeper.wake();
         ++counters_.lapses;
         lease_until_.reset();
         for (auto& [name, account] : accounts_)
@@ -512,6 +514,7 @@
             return;
         account.order = preference_order(account.name, *members_);
         account.order_generation = generation_;
+        account.keeper.wake();
     }
 
     std::vector<ledger_change> plan_changes(time_point now)
@@ -519,6 +522,8 @@
         std::vector<ledger_change> changes;
         for (auto& [name, account] : accounts_) {
             refresh_order(*account);
+            if (account->keeper.is_quiet(now))
+                continue;
             refresh(*account, now);
             auto change = account->keeper.plan_change(
                 view_of(*account, now), next_change_ + 1, now);
@@ -708,8 +713,10 @@
 void rate_limiter::begin_stop(time_point now)
 {
     impl_->stopping_ = true;
-    for (auto& [name, account] : impl_->accounts_)
+    for (auto& [name, account] : impl_->accounts_) {
+        account->keeper.wake();
         impl_->refresh(*account, now);
+    }
 }
 
 bool rate_limiter::is_released() const
--- a/src/rates/rates_measure_main.cpp
+++ b/src/rates/rates_measure_main.cpp
@@ -267,6 +267,11 @@
             found.admitted += requests[i].admitted;
             found.waited += requests[i].waited;
             found.inside += inside_[i];
+            if (std::getenv("FULMAR_MEASURE_TRACE") && inside_[i] &&
+                !requests[i].admitted)
+                fmt::print(
+                    stderr, "refused at {:.3f}\n",
+                    static_cast<double>(requests[i].at) / sim_second);
             found.refused_inside += inside_[i] && !requests[i].admitted;
             found.static_refused += inside_[i] && !split_admitted_[i];
             const auto wait = requests[i].ended - requests[i].at;
