--- /dev/null
+++ b/src/unique/handover_messages.cpp
@@ -0,0 +1,235 @@
+#include <fulmarjunction/core/json_fields.hpp>
+#include <fulmarjunction/unique/handover_messages.hpp>
+
+#include <boost/json/serialize.hpp>
+#include <sodium.h>
+
+namespace fulmarjunction {
+
+namespace {
+
+constexpr std::size_t longest_name = 256;
+constexpr std::size_t longest_digest = 128;
+constexpr std::size_t most_keys = 100'000;
+constexpr std::size_t most_fields = 256;
+constexpr std::uint32_t most_pieces = 10'000;
+constexpr std::uint64_t largest_status = 999;
+
+/// Bodies are bytes, which JSON strings cannot hold.
+constexpr int base64 = sodium_base64_VARIANT_ORIGINAL;
+
+std::string encode(const std::string& data)
+{
+    std::string text(sodium_base64_encoded_len(data.size(), base64), '\0');
+    sodium_bin2base64(
+        text.data(), text.size(),
+        reinterpret_cast<const unsigned char*>(data.data()), data.size(),
+        base64);
+    text.pop_back(); // the terminating zero
+    return text;
+}
+
+std::optional<std::string> decode(const std::string& text)
+{
+    std::string data(text.size(), '\0');
+    std::size_t size = 0;
+    const char* end = nullptr;
+    const int failed = sodium_base642bin(
+        reinterpret_cast<unsigned char*>(data.data()), data.size(), text.data(),
+        text.size(), nullptr, &size, &end, base64);
+    if (failed != 0 || end != text.data() + text.size())
+        return std::nullopt;
+    data.resize(size);
+    return data;
+}
+
+boost::json::value write_answer(const std::shared_ptr<const kept_answer>& kept)
+{
+    if (!kept)
+        return nullptr;
+    boost::json::array headers;
+    for (const auto& field : kept->headers)
+        headers.push_back(
+            {{"name", encode(field.name)}, {"value", encode(field.value)}});
+    return {
+        {"status", kept->status},
+        {"headers", std::move(headers)},
+        {"body", encode(kept->body)}};
+}
+
+boost::json::value write_key(const open_key& key)
+{
+    return {{"sequence", key.sequence},
+            {"account", key.account},
+            {"endpoint", key.endpoint},
+            {"digest", key.digest},
+            {"expires_ms", key.expires_ms},
+            {"outcome", to_string(key.what)},
+            {"reason", to_string(key.reason)},
+            {"answer", write_answer(key.answer)}};
+}
+
+std::string read_bytes(json_fields& fields, std::string_view name)
+{
+    const auto text = fields.text(name, max_handover_piece_bytes);
+    auto data = decode(text);
+    if (!data)
+        fields.note(name, "is not base64");
+    return data.value_or(std::string());
+}
+
+result<std::shared_ptr<const kept_answer>>
+read_answer(const boost::json::value& document, const std::string& step)
+{
+    if (document.is_null())
+        return std::shared_ptr<const kept_answer>();
+    json_fields fields(document, step);
+    auto answer = std::make_shared<kept_answer>();
+    answer->status = static_cast<int>(fields.number("status", largest_status));
+    for (const auto& element : fields.array("headers", most_fields)) {
+        json_fields inner(element, step);
+        header_field field;
+        field.name = read_bytes(inner, "name");
+        field.value = read_bytes(inner, "value");
+        BOOST_OUTCOME_TRYV(inner.finish());
+        answer->headers.push_back(std::move(field));
+    }
+    answer->body = read_bytes(fields, "body");
+    BOOST_OUTCOME_TRYV(fields.finish());
+    return std::shared_ptr<const kept_answer>(std::move(answer));
+}
+
+result<open_key>
+read_key(const boost::json::value& document, const std::string& step)
+{
+    json_fields fields(document, step);
+    open_key key;
+    key.sequence = fields.number("sequence");
+    key.account = fields.text("account", longest_name, 1);
+    key.endpoint = fields.text("endpoint", longest_name);
+    key.digest = fields.text("digest", longest_digest);
+    key.expires_ms = fields.signed_number("expires_ms");
+    const auto what = parse_outcome(fields.text("outcome", longest_name));
+    const auto reason =
+        parse_refusal_reason(fields.text("reason", longest_name));
+    // A key that has not been started has no place in the table.
+    if (!what || *what == outcome::not_run)
+        fields.note("outcome", "is not an outcome of a started key");
+    if (!reason)
+        fields.note("reason", "is not a reason");
+    const auto* answer = fields.find("answer");
+    BOOST_OUTCOME_TRYV(fields.finish());
+    key.what = *what;
+    key.reason = *reason;
+    BOOST_OUTCOME_TRY(key.answer, read_answer(*answer, step));
+    return key;
+}
+
+template <class Message>
+void read_attempt(json_fields& fields, Message& message)
+{
+    message.issuer = fields.text("issuer", longest_name, 1);
+    message.life = fields.number("incarnation");
+    message.attempt = fields.number("attempt");
+}
+
+} // namespace
+
+bool kept_answer::operator==(const kept_answer& other) const
+{
+    const auto same = [](const header_field& a, const header_field& b) {
+        return a.name == b.name && a.value == b.value;
+    };
+    return status == other.status && body == other.body &&
+           std::equal(
+               headers.begin(), headers.end(), other.headers.begin(),
+               other.headers.end(), same);
+}
+
+std::string handover_row_key(const instance_name& issuer, incarnation life)
+{
+    return "handover/" + issuer + "/" + std::to_string(life);
+}
+
+std::string to_text(const handover_piece& message)
+{
+    boost::json::array keys;
+    for (const auto& key : message.keys)
+        keys.push_back(write_key(key));
+    const boost::json::value document{
+        {"issuer", message.issuer},   {"incarnation", message.life},
+        {"attempt", message.attempt}, {"index", message.index},
+        {"count", message.count},     {"frozen_at_ms", message.frozen_at_ms},
+        {"keys", std::move(keys)}};
+    return boost::json::serialize(document);
+}
+
+std::string to_text(const handover_receipt& message)
+{
+    const boost::json::value document{
+        {"issuer", message.issuer},
+        {"incarnation", message.life},
+        {"attempt", message.attempt},
+        {"index", message.index}};
+    return boost::json::serialize(document);
+}
+
+boost::json::value to_json(const handover_row& row)
+{
+    return {
+        {"issuer", row.issuer},
+        {"incarnation", row.life},
+        {"attempt", row.attempt},
+        {"successor", row.successor},
+        {"successor_incarnation", row.successor_life}};
+}
+
+result<handover_piece> parse_handover_piece(std::string_view text)
+{
+    const std::string step = "parse handover piece";
+    BOOST_OUTCOME_TRY(
+        const auto document, parse_json(text, max_handover_piece_bytes, step));
+    json_fields fields(document, step);
+    handover_piece message;
+    read_attempt(fields, message);
+    message.index =
+        static_cast<std::uint32_t>(fields.number("index", most_pieces));
+    message.count =
+        static_cast<std::uint32_t>(fields.number("count", most_pieces));
+    message.frozen_at_ms = fields.signed_number("frozen_at_ms");
+    if (message.index >= message.count)
+        fields.note("index", "is not below count");
+    for (const auto& element : fields.array("keys", most_keys)) {
+        BOOST_OUTCOME_TRY(auto key, read_key(element, step));
+        message.keys.push_back(std::move(key));
+    }
+    BOOST_OUTCOME_TRYV(fields.finish());
+    return message;
+}
+
+result<handover_receipt> parse_handover_receipt(std::string_view text)
+{
+    const std::string step = "parse handover receipt";
+    BOOST_OUTCOME_TRY(
+        const auto document, parse_json(text, max_handover_piece_bytes, step));
+    json_fields fields(document, step);
+    handover_receipt message;
+    read_attempt(fields, message);
+    message.index =
+        static_cast<std::uint32_t>(fields.number("index", most_pieces));
+    BOOST_OUTCOME_TRYV(fields.finish());
+    return message;
+}
+
+result<handover_row> parse_handover_row(const boost::json::value& document)
+{
+    json_fields fields(document, "parse handover row");
+    handover_row row;
+    read_attempt(fields, row);
+    row.successor = fields.text("successor", longest_name, 1);
+    row.successor_life = fields.number("successor_incarnation");
+    BOOST_OUTCOME_TRYV(fields.finish());
+    return row;
+}
+
+} // namespace fulmarjunction
--- a/src/unique/idempotency_key.cpp
+++ b/src/unique/idempotency_key.cpp
@@ -169,8 +169,7 @@
         text.substr(0, prefix.size()) != prefix)
         return malformed();
     bytes data;
-    if (!decode(text.substr(prefix.size()), data) ||
-        data.size() <= mac_bytes)
+    if (!decode(text.substr(prefix.size()), data) || data.size() <= mac_bytes)
         return malformed();
     const auto size = data.size() - mac_bytes;
     const auto seal = mac_of(data, size, secret);
@@ -183,8 +182,7 @@
     key.sequence = reader.number();
     key.account = reader.name();
     const auto expires = reader.number();
-    if (!reader.at_end() ||
-        expires > std::numeric_limits<std::int64_t>::max())
+    if (!reader.at_end() || expires > std::numeric_limits<std::int64_t>::max())
         return malformed();
     key.expires_ms = static_cast<std::int64_t>(expires);
     return key;
