--- a/src/unique/handover_messages.cpp
+++ b/src/unique/handover_messages.cpp
@@ -1,4 +1,4 @@
-#include <fulmarjunction/core/json_fields.hpp>
+#include <fulmarjunction/core/object_reader.hpp>
 #include <fulmarjunction/unique/handover_messages.hpp>
 
 #include <boost/json/serialize.hpp>
@@ -69,7 +69,7 @@
             {"answer", write_answer(key.answer)}};
 }
 
-std::string read_bytes(json_fields& fields, std::string_view name)
+std::string read_bytes(object_reader& fields, std::string_view name)
 {
     const auto text = fields.text(name, max_handover_piece_bytes);
     auto data = decode(text);
@@ -83,11 +83,11 @@
 {
     if (document.is_null())
         return std::shared_ptr<const kept_answer>();
-    json_fields fields(document, step);
+    object_reader fields(document, step);
     auto answer = std::make_shared<kept_answer>();
     answer->status = static_cast<int>(fields.number("status", largest_status));
     for (const auto& element : fields.array("headers", most_fields)) {
-        json_fields inner(element, step);
+        object_reader inner(element, step);
         header_field field;
         field.name = read_bytes(inner, "name");
         field.value = read_bytes(inner, "value");
@@ -102,7 +102,7 @@
 result<open_key>
 read_key(const boost::json::value& document, const std::string& step)
 {
-    json_fields fields(document, step);
+    object_reader fields(document, step);
     open_key key;
     key.sequence = fields.number("sequence");
     key.account = fields.text("account", longest_name, 1);
@@ -126,7 +126,7 @@
 }
 
 template <class Message>
-void read_attempt(json_fields& fields, Message& message)
+void read_attempt(object_reader& fields, Message& message)
 {
     message.issuer = fields.text("issuer", longest_name, 1);
     message.life = fields.number("incarnation");
@@ -189,7 +189,7 @@
     const std::string step = "parse handover piece";
     BOOST_OUTCOME_TRY(
         const auto document, parse_json(text, max_handover_piece_bytes, step));
-    json_fields fields(document, step);
+    object_reader fields(document, step);
     handover_piece message;
     read_attempt(fields, message);
     message.index =
@@ -212,7 +212,7 @@
     const std::string step = "parse handover receipt";
     BOOST_OUTCOME_TRY(
         const auto document, parse_json(text, max_handover_piece_bytes, step));
-    json_fields fields(document, step);
+    object_reader fields(document, step);
     handover_receipt message;
     read_attempt(fields, message);
     message.index =
@@ -223,7 +223,7 @@
 
 result<handover_row> parse_handover_row(const boost::json::value& document)
 {
-    json_fields fields(document, "parse handover row");
+    object_reader fields(document, "parse handover row");
     handover_row row;
     read_attempt(fields, row);
     row.successor = fields.text("successor", longest_name, 1);
