--- a/src/daemon/gossip.cpp
+++ b/src/daemon/gossip.cpp
@@ -46,16 +46,7 @@
 awaitable<void> gossip::send_probe(probe_order order)
 {
     const auto sent = clock::now();
-    const auto address = parse_endpoint(order.address);
-    // A seed is known by its address alone until it has answered.
-    const auto expected =
-        state_.members.find(order.to) ? order.to : instance_name();
-    const auto text =
-        address
-            ? co_await send_control(
-                  peers_, {expected, *address}, "probe", to_text(order.message),
-                  sent + state_.settings.probe_interval)
-            : result<std::string>(error{errc::invalid_argument, "probe"});
+    const auto text = co_await exchange_probe(order, sent);
     const auto now = clock::now();
     const auto answer = text ? parse_probe_message(text.value())
                              : result<probe_message>(text.error());
@@ -66,7 +57,25 @@
     }
     const auto learned =
         state_.members.probe_answered(order.to, answer.value(), sent, now);
-    learn({answer.value().from, *address}, learned);
+    const auto address = parse_endpoint(order.address);
+    learn(peer_address{answer.value().from, address.value()}, learned);
+}
+
+awaitable<result<std::string>>
+gossip::exchange_probe(const probe_order& order, time_point sent)
+{
+    const auto address = parse_endpoint(order.address);
+    if (!address)
+        co_return fail(errc::invalid_argument, "probe", order.address);
+    peer_address to;
+    to.address = *address;
+    // A seed is known by its address alone until it has answered.
+    if (state_.members.find(order.to))
+        to.name = order.to;
+    auto text = to_text(order.message);
+    const auto deadline = sent + state_.settings.probe_interval;
+    co_return co_await send_control(
+        peers_, to, "probe", std::move(text), deadline);
 }
 
 void gossip::learn(peer_address from, const probe_result& learned)
@@ -86,8 +95,9 @@
     const auto address = parse_endpoint(order.address);
     if (!address)
         co_return;
+    const peer_address to{order.to, *address};
     const auto ignored = co_await send_control(
-        peers_, {order.to, *address}, "leave", to_text(order.message),
+        peers_, to, "leave", to_text(order.message),
         clock::now() + message_timeout);
     if (!ignored) {
         log(log_level::debug, "leave_not_delivered",
--- a/src/daemon/gossip.hpp
+++ b/src/daemon/gossip.hpp
@@ -36,6 +36,8 @@
 
 private:
     awaitable<void> send_probe(probe_order order);
+    awaitable<result<std::string>>
+    exchange_probe(const probe_order& order, time_point sent);
     awaitable<void> send_leave(leave_order order);
     awaitable<void> send_push(peer_address to, rows_delta delta);
     awaitable<void> pull(peer_address from, rows_request request);
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -68,7 +68,10 @@
             if (record)
                 life = std::max(life, record.value().life + 1);
         },
-        asio::detached);
+        [&context](const std::exception_ptr&) {
+            // The kept connection would hold the loop open.
+            context.stop();
+        });
     context.run_for(settings.platform.timeout + milliseconds(100));
     return life;
 }
--- a/src/daemon/node_state.cpp
+++ b/src/daemon/node_state.cpp
@@ -257,13 +257,13 @@
         std::make_shared<std::map<instance_name, std::uint64_t>>();
     members.attach_section(
         "suspects",
-        [this, told](const instance_name& to)
-            -> std::optional<boost::json::value> {
+        [this,
+         told](const instance_name& to) -> std::optional<boost::json::value> {
             auto& last = (*told)[to];
             if (last == suspects.last_change())
                 return std::nullopt;
-            const auto reports = suspects.changes(
-                last, suspect_reports_per_probe, clock::now());
+            const auto reports =
+                suspects.changes(last, suspect_reports_per_probe, clock::now());
             last = suspects.last_change();
             return to_json(reports);
         },
--- a/src/serving/dispatcher.cpp
+++ b/src/serving/dispatcher.cpp
@@ -169,8 +169,10 @@
     streamed_request request, cancel_event canceled)
 {
     if (instance == parts_.self) {
-        co_return sent_answer{co_await parts_.gate->serve(
-            std::move(context), std::move(request), canceled)};
+        sent_answer local;
+        local.answer = co_await parts_.gate->serve(
+            std::move(context), std::move(request), canceled);
+        co_return local;
     }
     const auto to = parts_.locate(instance);
     if (!to)
--- a/src/serving/entry.cpp
+++ b/src/serving/entry.cpp
@@ -309,7 +309,8 @@
         if (record == nullptr || record->account != caller.account)
             co_return refuse(not_run(refusal_reason::key_unknown));
     }
-    co_return finish(co_await run(endpoint, std::move(call), canceled), id);
+    auto answer = co_await run(endpoint, std::move(call), canceled);
+    co_return finish(std::move(answer), id);
 }
 
 awaitable<call_answer> entry::run(
@@ -324,15 +325,18 @@
             co_return *why;
     }
     retry_budget budget(parts_.extra_attempts);
-    auto answer =
-        endpoint.kind == execution::unique
-            ? co_await parts_.hooks.run_unique(
-                  std::move(call), budget, canceled)
-            : co_await parts_.calls->call(std::move(call), budget, canceled);
+    // g++ 12 miscompiles co_await inside a conditional expression.
+    std::optional<call_answer> answer;
+    if (endpoint.kind == execution::unique) {
+        answer =
+            co_await parts_.hooks.run_unique(std::move(call), budget, canceled);
+    } else {
+        answer = co_await parts_.calls->call(std::move(call), budget, canceled);
+    }
     if (parts_.hooks.ended) {
-        parts_.hooks.ended(root, answer.below);
+        parts_.hooks.ended(root, answer->below);
     }
-    co_return answer;
+    co_return std::move(*answer);
 }
 
 streamed_response entry::finish(call_answer answer, const std::string& id)
