--- a/src/standin/backend_standin.cpp
+++ b/src/standin/backend_standin.cpp
@@ -142,16 +142,16 @@
           breaks_at_(plan.truncate ? plan.body_bytes / 2 : 0),
           truncates_(plan.truncate), interval_(plan.chunk_interval)
     {
+        run_->record->completed =
+            left_ == 0 && !truncates_ && !run_->gone->is_canceled();
     }
 
     awaitable<result<std::size_t>> read(asio::mutable_buffer buffer)
     {
         if (truncates_ && left_ <= breaks_at_)
             co_return fail(errc::truncated, "backend stand-in");
-        if (left_ == 0) {
-            run_->record->completed = true;
+        if (left_ == 0)
             co_return std::size_t{0};
-        }
         if (interval_ > milliseconds(0))
             co_await wait(interval_);
         const auto limit = truncates_ ? left_ - breaks_at_ : left_;
@@ -159,6 +159,9 @@
             limit, std::min(buffer.size(), body_chunk_size)));
         fill(static_cast<char*>(buffer.data()), size);
         left_ -= size;
+        // The server stops at the content length, without a last read.
+        if (left_ == 0)
+            run_->record->completed = true;
         co_return size;
     }
 
@@ -433,8 +436,10 @@
         slot.reset();
         if (plan.crash)
             crash(plan);
-        if (plan.hang)
+        if (plan.hang) {
             co_await gone->wait_canceled();
+            co_return make_not_run("canceled");
+        }
         const auto work = plan.work + control_.work;
         if (work > milliseconds(0))
             co_await wait(work);
