--- a/src/ctl/fulmarctl_main.cpp
+++ b/src/ctl/fulmarctl_main.cpp
@@ -320,7 +320,9 @@
     output.status = fj::exit_status::failed;
     asio::co_spawn(
         io, run(environment, line.words, output),
-        [](std::exception_ptr thrown) {
+        [&io](std::exception_ptr thrown) {
+            // Kept connections must not keep the program running.
+            io.stop();
             if (thrown)
                 std::rethrow_exception(thrown);
         });
