--- a/include/fulmarjunction/ctl/commands.hpp
+++ b/include/fulmarjunction/ctl/commands.hpp
@@ -66,6 +66,16 @@
     boost::json::object document;
 };
 
+/// What a command does to the platform's table.
+enum class command_access
+{
+    /// It asks one node only, and so works while the platform is down.
+    none,
+    reads,
+    /// It makes a change, for which an operator's name is needed.
+    changes
+};
+
 /// Describes one command.
 struct command_definition
 {
@@ -74,8 +84,7 @@
     /// Names of its arguments, such as "FILE".
     std::vector<std::string> arguments;
     std::string help;
-    /// Whether it asks the platform; `drain` works without it.
-    bool needs_table = true;
+    command_access access = command_access::reads;
     std::function<awaitable<command_output>(
         ctl_environment& environment, std::vector<std::string> arguments)>
         run;
--- a/src/ctl/ctl_test.cpp
+++ b/src/ctl/ctl_test.cpp
@@ -340,5 +340,8 @@
     CHECK(desk.run({"accounts"}).status == exit_status::usage);
     CHECK(desk.run({"accounts", "apply"}).status == exit_status::usage);
     CHECK(desk.run({"status", "x"}).status == exit_status::usage);
+    // A change without a name could not be traced.
+    desk.environment.options.operator_name.clear();
+    CHECK(desk.run({"plans", "apply", "plans"}).status == exit_status::usage);
     CHECK(desk.core.head() == 0);
 }
--- a/src/ctl/fulmarctl_main.cpp
+++ b/src/ctl/fulmarctl_main.cpp
@@ -161,7 +161,9 @@
 {
     const char* user = std::getenv("USER");
     const char* name = raw.operator_name != nullptr ? raw.operator_name : user;
-    if (name == nullptr || !fj::is_identifier(name))
+    if (name == nullptr)
+        return {};
+    if (!fj::is_identifier(name))
         exit_usage("--operator: a name of letters, digits and . _ -");
     return name;
 }
@@ -315,7 +317,8 @@
     if (command == nullptr)
         exit_usage("no such command; see fulmarctl --help");
     asio::io_context io(1);
-    auto environment = make_environment(io, line.raw, command->needs_table);
+    auto environment = make_environment(
+        io, line.raw, command->access != fj::command_access::none);
     fj::command_output output;
     output.status = fj::exit_status::failed;
     asio::co_spawn(
