--- a/src/platform/table_core.cpp
+++ b/src/platform/table_core.cpp
@@ -164,6 +164,8 @@
     row_list listed;
     listed.head = head_;
     listed.complete_to = std::max(after, head_);
+    if (after >= head_)
+        return listed;
     limit = std::clamp<std::size_t>(limit, 1, max_listed_rows);
     auto next = keys_by_version_.lower_bound({after + 1, std::string()});
     while (next != keys_by_version_.end()) {
--- a/src/standin/platform_contract_test.cpp
+++ b/src/standin/platform_contract_test.cpp
@@ -148,6 +148,7 @@
     const auto rest = table.run(service.list(first.complete_to, 100)).value();
     CHECK(first.rows.size() + rest.rows.size() == 5);
     CHECK(table.run(service.list(6, 100)).value().rows.empty());
+    CHECK(table.run(service.list(UINT64_MAX, 100)).value().rows.empty());
 
     // A page must not split the rows of one version.
     REQUIRE(table.run(service.commit(
