Test the peer slice and correct what the tests found

Cause: nghttp2 refuses requests without an authority; a connection that the peer had closed was used for one more request; a protocol error was noticed only a second late. Change: a request without a host names the peer; heads that the peer's nghttp2 would refuse are refused before they are sent; the kernel is asked whether the peer has closed before a stream is opened; streams left after a protocol error fail at once.

--- a/src/peer/client.cpp
+++ b/src/peer/client.cpp
@@ -68,7 +68,7 @@
 
 /// Returns why a session cannot carry a request for an instance, if so.
 std::optional<error>
-find_mismatch(const peer_session& session, const instance_name& expected)
+find_mismatch(peer_session& session, const instance_name& expected)
 {
     std::string why;
     if (!session.accepts_streams())
--- /dev/null
+++ b/src/peer/peer_test.cpp
@@ -0,0 +1,941 @@
+#include <fulmarjunction/core/log.hpp>
+#include <fulmarjunction/peer/peer.hpp>
+
+#include <peer/event.hpp>
+#include <peer/link.hpp>
+
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <openssl/evp.h>
+#include <openssl/x509.h>
+
+#include <cstring>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace fj = fulmarjunction;
+namespace asio = boost::asio;
+using asio::use_awaitable;
+using asio::ip::tcp;
+
+namespace {
+
+const tcp::endpoint any_port(asio::ip::address_v4::loopback(), 0);
+
+/// Ends a test that hangs; no test's result depends on it.
+constexpr std::chrono::seconds hang_limit{60};
+
+asio::io_context& io()
+{
+    static asio::io_context context;
+    return context;
+}
+
+template <class Predicate>
+void run_until(Predicate done)
+{
+    const auto limit = fj::clock::now() + hang_limit;
+    while (!done()) {
+        if (fj::clock::now() >= limit)
+            throw std::runtime_error("the test hangs");
+        io().restart();
+        io().run_one_for(std::chrono::milliseconds(100));
+    }
+}
+
+template <class T>
+fj::awaitable<void>
+keep(fj::awaitable<T> work, std::shared_ptr<std::optional<T>> value)
+{
+    value->emplace(co_await std::move(work));
+}
+
+/// Starts a coroutine whose value can be awaited by `run_until`.
+template <class T>
+std::shared_ptr<std::optional<T>> start(fj::awaitable<T> work)
+{
+    auto value = std::make_shared<std::optional<T>>();
+    asio::co_spawn(
+        io(), keep(std::move(work), value),
+        [](const std::exception_ptr& thrown) {
+            if (thrown)
+                std::rethrow_exception(thrown);
+        });
+    return value;
+}
+
+template <class T>
+T run(fj::awaitable<T> work)
+{
+    const auto value = start(std::move(work));
+    run_until([&] { return value->has_value(); });
+    return std::move(**value);
+}
+
+fj::time_point in_10_s()
+{
+    return fj::clock::now() + fj::seconds(10);
+}
+
+fj::streamed_response text_response(int status, std::string text)
+{
+    const auto size = text.size();
+    return {status, {}, size, fj::string_body(std::move(text))};
+}
+
+fj::streamed_request get(std::string target)
+{
+    return {"GET", std::move(target), {}, 0, fj::empty_body()};
+}
+
+fj::streamed_request
+post(std::string text, std::optional<std::uint64_t> content_length)
+{
+    return {
+        "POST", "/echo", {}, content_length, fj::string_body(std::move(text))};
+}
+
+fj::peer_identity identity(std::string name, std::string secret = "secret")
+{
+    return {std::move(name), 7, std::move(secret)};
+}
+
+fj::awaitable<fj::streamed_response> describe(fj::peer_request request)
+{
+    std::string text = request.from + " " + request.message.method + " " +
+                       request.message.target + "\n";
+    for (const auto& field : request.message.headers)
+        text += field.name + "=" + field.value + "\n";
+    auto body = co_await fj::read_body(request.message.body, 1 << 22);
+    text += body ? body.value() : std::string(to_string(body.error().code));
+    co_return text_response(200, text);
+}
+
+struct test_server
+{
+    explicit test_server(
+        fj::peer_handler handler, fj::peer_limits limits = {},
+        std::shared_ptr<asio::ssl::context> tls = nullptr)
+        : server(
+              io().get_executor(), identity("server"), limits,
+              [this, handler](fj::peer_request request) {
+                  ++calls;
+                  return handler(std::move(request));
+              },
+              std::move(tls)),
+          address(server.listen(any_port).value())
+    {
+    }
+
+    int calls = 0;
+    fj::peer_server server;
+    tcp::endpoint address;
+};
+
+struct test_client
+{
+    explicit test_client(
+        tcp::endpoint to, std::string secret = "secret",
+        std::shared_ptr<asio::ssl::context> tls = nullptr)
+        : client(
+              io().get_executor(), identity("client", std::move(secret)), {},
+              std::move(tls)),
+          address(std::move(to))
+    {
+    }
+
+    /// Returns "<status> <body>" or the error's name.
+    fj::awaitable<std::string> fetch(
+        fj::streamed_request request, fj::time_point deadline = in_10_s(),
+        std::string expected = "server")
+    {
+        auto response = co_await client.send(
+            address, expected, std::move(request), deadline);
+        if (!response)
+            co_return std::string(to_string(response.error().code));
+        auto body = co_await fj::read_body(response.value().body, 1 << 22);
+        if (!body)
+            co_return "body " + std::string(to_string(body.error().code));
+        co_return std::to_string(response.value().status) + " " + body.value();
+    }
+
+    std::string fetch_now(fj::streamed_request request)
+    {
+        return run(fetch(std::move(request)));
+    }
+
+    fj::peer_client client;
+    tcp::endpoint address;
+};
+
+/// A handler whose requests wait until the test releases them by target.
+struct gated_handler
+{
+    fj::detail::event changed{io().get_executor()};
+    std::vector<std::string> waiting;
+    std::string released;
+    int canceled = 0;
+
+    fj::awaitable<fj::streamed_response> operator()(fj::peer_request request)
+    {
+        const auto target = request.message.target;
+        waiting.push_back(target);
+        request.on_cancel([this] {
+            ++canceled;
+            changed.notify();
+        });
+        while (released.find(target + ";") == std::string::npos &&
+               !request.is_canceled())
+            co_await changed.wait();
+        co_return text_response(200, target);
+    }
+
+    void release(const std::string& target)
+    {
+        released += target + ";";
+        changed.notify();
+    }
+};
+
+fj::peer_handler use(gated_handler& gate)
+{
+    return
+        [&gate](fj::peer_request request) { return gate(std::move(request)); };
+}
+
+/// A body of `size` bytes that counts what was taken of it.
+struct counted_body
+{
+    std::uint64_t size;
+    std::uint64_t taken = 0;
+
+    fj::awaitable<fj::result<std::size_t>> read(asio::mutable_buffer output)
+    {
+        const auto part = std::min<std::uint64_t>(size - taken, output.size());
+        std::memset(output.data(), 'x', part);
+        taken += part;
+        co_return part;
+    }
+
+    fj::body_reader reader()
+    {
+        return [this](asio::mutable_buffer output) { return read(output); };
+    }
+};
+
+/// A body that yields "part" and then fails.
+fj::body_reader broken_body()
+{
+    const auto broken =
+        [](asio::mutable_buffer) -> fj::awaitable<fj::result<std::size_t>> {
+        co_return fj::fail(fj::errc::timeout, "test body");
+    };
+    return [broken, part = fj::string_body("part"),
+            count = 0](asio::mutable_buffer output) mutable {
+        return ++count == 1 ? part(output) : broken(output);
+    };
+}
+
+/// Connects a socket to a server and sends bytes; returns all that comes
+/// back until the server closes.
+fj::awaitable<std::string>
+raw_exchange(tcp::endpoint address, std::string bytes)
+{
+    tcp::socket socket(io());
+    co_await socket.async_connect(address, use_awaitable);
+    co_await asio::async_write(socket, asio::buffer(bytes), use_awaitable);
+    std::string answer;
+    boost::system::error_code ignored;
+    co_await asio::async_read(
+        socket, asio::dynamic_buffer(answer),
+        asio::redirect_error(use_awaitable, ignored));
+    co_return answer;
+}
+
+std::string
+frame(char type, char flags, char stream, const std::string& payload)
+{
+    std::string bytes(9, '\0');
+    bytes[2] = static_cast<char>(payload.size());
+    bytes[3] = type;
+    bytes[4] = flags;
+    bytes[8] = stream;
+    return bytes + payload;
+}
+
+std::string code_bytes(char code)
+{
+    return {0, 0, 0, code};
+}
+
+constexpr char data_type = 0;
+constexpr char headers_type = 1;
+constexpr char reset_type = 3;
+constexpr char settings_type = 4;
+constexpr char goaway_type = 7;
+constexpr char end_stream = 1;
+constexpr char end_headers = 4;
+
+const std::string status_200 = "\x88";
+
+/// Plays a server that proves the secret, waits for the head of a request,
+/// sends fixed frames and closes if told to.
+struct scripted_server
+{
+    scripted_server(std::string frames, bool close_after)
+        : acceptor(io(), any_port), address(acceptor.local_endpoint())
+    {
+        asio::co_spawn(io(), serve(frames, close_after), asio::detached);
+    }
+
+    fj::awaitable<void> serve(std::string frames, bool close_after)
+    {
+        link = std::make_unique<fj::detail::byte_stream>(
+            co_await acceptor.async_accept(use_awaitable));
+        const auto proved = co_await fj::detail::authenticate(
+            *link, identity("server"), fj::detail::peer_role::server,
+            fj::seconds(10));
+        if (!proved)
+            co_return;
+        auto& socket = link->socket();
+        constexpr std::size_t preface = 24;
+        std::string skipped(preface, '\0');
+        co_await asio::async_read(socket, asio::buffer(skipped), use_awaitable);
+        std::string head(9, '\0');
+        while (head[3] != headers_type) {
+            co_await asio::async_read(
+                socket, asio::buffer(head), use_awaitable);
+            std::string payload(
+                static_cast<unsigned char>(head[1]) * 256U +
+                    static_cast<unsigned char>(head[2]),
+                '\0');
+            co_await asio::async_read(
+                socket, asio::buffer(payload), use_awaitable);
+        }
+        const auto bytes = frame(settings_type, 0, 0, "") + frames;
+        co_await asio::async_write(socket, asio::buffer(bytes), use_awaitable);
+        if (close_after)
+            link->close();
+    }
+
+    tcp::acceptor acceptor;
+    tcp::endpoint address;
+    std::unique_ptr<fj::detail::byte_stream> link;
+};
+
+std::shared_ptr<asio::ssl::context> make_tls_context()
+{
+    EVP_PKEY* key = EVP_EC_gen("P-256");
+    X509* certificate = X509_new();
+    ASN1_INTEGER_set(X509_get_serialNumber(certificate), 1);
+    X509_gmtime_adj(X509_getm_notBefore(certificate), -60);
+    X509_gmtime_adj(X509_getm_notAfter(certificate), 3600);
+    X509_set_pubkey(certificate, key);
+    X509_sign(certificate, key, EVP_sha256());
+    auto context =
+        std::make_shared<asio::ssl::context>(asio::ssl::context::tls_server);
+    SSL_CTX_use_certificate(context->native_handle(), certificate);
+    SSL_CTX_use_PrivateKey(context->native_handle(), key);
+    X509_free(certificate);
+    EVP_PKEY_free(key);
+    return context;
+}
+
+/// Drops log lines while a test provokes failures.
+struct quiet_log
+{
+    quiet_log()
+    {
+        fj::set_log_sink([](std::string_view) {});
+    }
+    ~quiet_log() { fj::set_log_sink({}); }
+};
+
+} // namespace
+
+TEST_CASE("malformed hellos do not parse")
+{
+    const auto good = fj::detail::format_hello(
+        fj::detail::make_hello(std::string(255, 'n'), 0x0102030405060708));
+    const auto parsed = fj::detail::parse_hello(good);
+    REQUIRE(parsed);
+    CHECK(parsed->name == std::string(255, 'n'));
+    CHECK(parsed->life == 0x0102030405060708);
+    CHECK(fj::detail::format_hello(*parsed) == good);
+
+    CHECK_FALSE(fj::detail::parse_hello(""));
+    CHECK_FALSE(fj::detail::parse_hello(good.substr(0, good.size() - 1)));
+    CHECK_FALSE(fj::detail::parse_hello(good + "x"));
+    CHECK_FALSE(fj::detail::parse_hello("FJP2" + good.substr(4)));
+    const auto unnamed =
+        fj::detail::format_hello(fj::detail::make_hello("", 1));
+    CHECK_FALSE(fj::detail::parse_hello(unnamed));
+}
+
+TEST_CASE("a proof holds for one secret, role and pair of hellos only")
+{
+    using fj::detail::make_proof;
+    const auto client = fj::detail::peer_role::client;
+    const auto server = fj::detail::peer_role::server;
+    const auto proof = make_proof("s", client, "a", "b");
+    CHECK(fj::detail::is_same_proof(proof, make_proof("s", client, "a", "b")));
+    const auto differs = [&](const fj::detail::peer_proof& other) {
+        return !fj::detail::is_same_proof(proof, other);
+    };
+    CHECK(differs(make_proof("t", client, "a", "b")));
+    CHECK(differs(make_proof("s", server, "a", "b")));
+    CHECK(differs(make_proof("s", client, "b", "a")));
+    CHECK(differs(make_proof("s", client, "a", "c")));
+}
+
+TEST_CASE("requests and responses pass whole, with their fields")
+{
+    test_server target(describe);
+    test_client peer(target.address);
+    auto request = post("body", 4);
+    request.headers = {{"host", "notes"},       {"fj-account", "a"},
+                       {"connection", "close"}, {"transfer-encoding", "x"},
+                       {"keep-alive", "1"},     {"upgrade", "h2c"},
+                       {"te", "gzip"}};
+    CHECK(
+        peer.fetch_now(std::move(request)) ==
+        "200 client POST /echo\nfj-account=a\nhost=notes\nbody");
+    CHECK(
+        peer.fetch_now(get("/x?y=1")) ==
+        "200 client GET /x?y=1\nhost=server\n");
+    const std::string text(1'000'000, 'b');
+    const std::string start_of_text = "200 client POST /echo\nhost=server\n";
+    CHECK(peer.fetch_now(post(text, std::nullopt)) == start_of_text + text);
+    CHECK(peer.fetch_now(post("", std::nullopt)) == start_of_text);
+    CHECK(peer.client.counters().connections_opened == 1);
+    CHECK(target.server.counters().connections_accepted == 1);
+    CHECK(target.server.open_streams() == 0);
+    CHECK(target.server.counters().streams_reset == 0);
+}
+
+TEST_CASE("responses to HEAD, 204 and 304 have no body")
+{
+    test_server target(
+        [](fj::peer_request request) -> fj::awaitable<fj::streamed_response> {
+            const auto status = std::stoi(request.message.target.substr(1));
+            co_return text_response(status, "text");
+        });
+    test_client peer(target.address);
+    auto head = get("/200");
+    head.method = "HEAD";
+    CHECK(peer.fetch_now(std::move(head)) == "200 ");
+    CHECK(peer.fetch_now(get("/204")) == "204 ");
+    CHECK(peer.fetch_now(get("/304")) == "304 ");
+    CHECK(peer.fetch_now(get("/200")) == "200 text");
+}
+
+TEST_CASE("a peer that proves another secret or name gets nothing")
+{
+    const quiet_log quiet;
+    test_server target(describe);
+    test_client stranger(target.address, "other");
+    CHECK(stranger.fetch_now(get("/")) == "connection_failed");
+    CHECK(target.server.counters().handshakes_failed == 1);
+    CHECK(stranger.client.counters().handshakes_failed == 1);
+    test_client nameless(target.address, "");
+    CHECK(nameless.fetch_now(get("/")) == "connection_failed");
+
+    test_client peer(target.address);
+    CHECK(
+        run(peer.fetch(get("/"), in_10_s(), "another")) == "connection_failed");
+    CHECK(target.calls == 0);
+    CHECK(
+        run(peer.fetch(get("/"), in_10_s(), "")) ==
+        "200 client GET /\nhost=server\n");
+
+    fj::peer_server unsafe(
+        io().get_executor(), identity("server", ""), {}, describe);
+    CHECK(unsafe.listen(any_port).error().code == fj::errc::invalid_argument);
+    fj::peer_server unnamed(
+        io().get_executor(), identity(std::string(256, 'n')), {}, describe);
+    CHECK(unnamed.listen(any_port).error().code == fj::errc::invalid_argument);
+}
+
+TEST_CASE("a handshake that is malformed, replayed or reflected is refused")
+{
+    const quiet_log quiet;
+    test_server target(describe);
+    const auto hello =
+        fj::detail::format_hello(fj::detail::make_hello("client", 1));
+    const auto server_hello_size =
+        fj::detail::format_hello(fj::detail::make_hello("server", 7)).size();
+
+    // The recording of a connection that was accepted.
+    std::string recorded = hello;
+    const auto record = [&]() -> fj::awaitable<bool> {
+        tcp::socket socket(io());
+        co_await socket.async_connect(target.address, use_awaitable);
+        co_await asio::async_write(socket, asio::buffer(hello), use_awaitable);
+        std::string other(server_hello_size, '\0');
+        co_await asio::async_read(socket, asio::buffer(other), use_awaitable);
+        const auto proof = fj::detail::make_proof(
+            "secret", fj::detail::peer_role::client, hello, other);
+        recorded.append(proof.begin(), proof.end());
+        co_await asio::async_write(socket, asio::buffer(proof), use_awaitable);
+        fj::detail::peer_proof answer{};
+        co_await asio::async_read(socket, asio::buffer(answer), use_awaitable);
+        co_return fj::detail::is_same_proof(
+            answer, fj::detail::make_proof(
+                        "secret", fj::detail::peer_role::server, hello, other));
+    };
+    CHECK(run(record()));
+    CHECK(target.server.counters().connections_accepted == 1);
+
+    const std::string zeros(fj::detail::proof_size, '\0');
+    const std::vector<std::string> attempts = {
+        "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+        "GET / HTTP/1.1\r\n\r\n",
+        std::string("FJP1\0", 5) + zeros + zeros,
+        hello + zeros,
+        recorded,
+    };
+    for (const auto& attempt : attempts) {
+        INFO(fj::log_quote(attempt));
+        const auto answer = run(raw_exchange(target.address, attempt));
+        // At most the server's hello; never its proof, nor HTTP/2.
+        CHECK(answer.size() <= server_hello_size);
+    }
+    CHECK(target.server.counters().handshakes_failed == attempts.size());
+
+    // A server that returns the client's own hello and proof is refused.
+    tcp::acceptor mirror(io(), any_port);
+    const auto reflect = [&]() -> fj::awaitable<void> {
+        auto socket = co_await mirror.async_accept(use_awaitable);
+        std::array<char, 1024> bytes{};
+        for (;;) {
+            const auto size = co_await socket.async_read_some(
+                asio::buffer(bytes), use_awaitable);
+            co_await asio::async_write(
+                socket, asio::buffer(bytes.data(), size), use_awaitable);
+        }
+    };
+    asio::co_spawn(io(), reflect(), asio::detached);
+    test_client peer(mirror.local_endpoint());
+    CHECK(run(peer.fetch(get("/"), in_10_s(), "")) == "connection_failed");
+    CHECK(target.calls == 0);
+}
+
+TEST_CASE("a peer that is silent in the handshake is dropped")
+{
+    const quiet_log quiet;
+    fj::peer_limits limits;
+    limits.handshake_timeout = fj::milliseconds(20);
+    test_server target(describe, limits);
+    CHECK(run(raw_exchange(target.address, "")).empty());
+    CHECK(target.server.counters().handshakes_failed == 1);
+
+    tcp::acceptor silent(io(), any_port);
+    fj::peer_client client(io().get_executor(), identity("client"), limits);
+    const auto sent =
+        run(client.send(silent.local_endpoint(), "", get("/"), in_10_s()));
+    CHECK(sent.error().code == fj::errc::connection_failed);
+}
+
+TEST_CASE("faults of a peer are told apart by whether it may have run")
+{
+    struct fault
+    {
+        std::string frames;
+        bool close;
+        std::string expected;
+    };
+    const auto reset = [](char code) {
+        return frame(reset_type, 0, 1, code_bytes(code));
+    };
+    const auto goaway = [](char last) {
+        return frame(goaway_type, 0, 0, code_bytes(last) + code_bytes(0));
+    };
+    const auto head = frame(headers_type, end_headers, 1, status_200);
+    const auto part = frame(data_type, 0, 1, "part");
+    const auto whole = frame(data_type, end_stream, 1, "part");
+    const std::string length_9("\x0f\x0d\x01\x39", 4);
+    const std::vector<fault> faults = {
+        {reset(7), false, "connection_failed"},
+        {reset(2), false, "connection_broken"},
+        {reset(8), false, "connection_broken"},
+        {reset(0), false, "connection_broken"},
+        {goaway(0), false, "connection_failed"},
+        {goaway(0), true, "connection_failed"},
+        {goaway(1), true, "connection_broken"},
+        {"", true, "connection_broken"},
+        {"garbage that is no frame", false, "connection_broken"},
+        {frame(headers_type, end_headers, 1, "\xff\xff\xff\xff"), false,
+         "connection_broken"},
+        {frame(headers_type, end_headers, 1, ""), true, "connection_broken"},
+        {head, true, "body truncated"},
+        {head + part, true, "body truncated"},
+        {head + part + reset(2), false, "body truncated"},
+        {head + part + reset(7), false, "body truncated"},
+        {head + part + reset(0), false, "body truncated"},
+        {frame(headers_type, end_headers, 1, status_200 + length_9) + whole,
+         false, "body truncated"},
+        {head + whole, true, "200 part"},
+        {head + whole + reset(0), true, "200 part"},
+        {goaway(1) + head + whole, true, "200 part"},
+        // A response for a stream that was never opened reaches nobody.
+        {frame(headers_type, end_headers, 3, status_200), true,
+         "connection_broken"},
+    };
+    for (std::size_t i = 0; i != faults.size(); ++i) {
+        INFO("fault " << i << ": " << fj::log_quote(faults[i].frames));
+        scripted_server server(faults[i].frames, faults[i].close);
+        test_client peer(server.address);
+        CHECK(peer.fetch_now(get("/")) == faults[i].expected);
+    }
+    tcp::acceptor unused(io(), any_port);
+    test_client peer(unused.local_endpoint());
+    unused.close();
+    CHECK(peer.fetch_now(get("/")) == "connection_failed");
+    CHECK(run(peer.fetch(get("/"), fj::clock::now())) == "connection_failed");
+}
+
+TEST_CASE("a late response never reaches another request")
+{
+    gated_handler gate;
+    test_server target(use(gate));
+    test_client peer(target.address);
+    const auto warm = start(peer.fetch(get("/warm")));
+    gate.release("/warm");
+    run_until([&] { return warm->has_value(); });
+    const auto late =
+        run(peer.fetch(get("/late"), fj::clock::now() + fj::milliseconds(20)));
+    CHECK(late == "timeout");
+    const auto next = start(peer.fetch(get("/next")));
+    run_until([&] { return gate.waiting.size() == 3; });
+    gate.release("/late");
+    gate.release("/next");
+    run_until([&] { return next->has_value(); });
+    CHECK(**next == "200 /next");
+    CHECK(gate.canceled == 1);
+    CHECK(peer.client.counters().connections_opened == 1);
+}
+
+TEST_CASE("many concurrent streams get their own responses, in any order")
+{
+    constexpr int count = 500;
+    gated_handler gate;
+    test_server target(use(gate));
+    test_client peer(target.address);
+    const auto target_of = [](int i) { return "/" + std::to_string(i) + "."; };
+    std::vector<std::shared_ptr<std::optional<std::string>>> responses;
+    for (int i = 0; i != count; ++i)
+        responses.push_back(start(peer.fetch(get(target_of(i)))));
+    run_until([&] { return gate.waiting.size() == count; });
+    CHECK(target.server.open_streams() == count);
+    for (int i = count; i-- > 0;) {
+        gate.release(target_of(i));
+        run_until([&] { return responses[i]->has_value(); });
+        REQUIRE(**responses[i] == "200 " + target_of(i));
+    }
+    CHECK(peer.client.counters().connections_opened == 1);
+    CHECK(target.server.open_streams() == 0);
+}
+
+TEST_CASE("streams over the peer's limit wait and are not lost")
+{
+    fj::peer_limits limits;
+    limits.max_streams = 2;
+    gated_handler gate;
+    test_server target(use(gate), limits);
+    test_client peer(target.address);
+    const auto warm = start(peer.fetch(get("/w")));
+    gate.release("/w");
+    run_until([&] { return warm->has_value(); });
+    const auto first = start(peer.fetch(get("/1")));
+    const auto second = start(peer.fetch(get("/2")));
+    run_until([&] { return gate.waiting.size() == 3; });
+    // A request that never left cannot have been processed.
+    CHECK(
+        run(peer.fetch(get("/3"), fj::clock::now() + fj::milliseconds(20))) ==
+        "connection_failed");
+    const auto fourth = start(peer.fetch(get("/4")));
+    gate.release("/1");
+    gate.release("/2");
+    gate.release("/4");
+    run_until([&] { return fourth->has_value(); });
+    CHECK(**fourth == "200 /4");
+    CHECK(target.calls == 4);
+}
+
+TEST_CASE("canceling a request or dropping a response resets the stream")
+{
+    gated_handler gate;
+    test_server target(use(gate));
+    test_client peer(target.address);
+    asio::cancellation_signal stop;
+    bool done = false;
+    asio::co_spawn(
+        io(), peer.fetch(get("/wait")),
+        asio::bind_cancellation_slot(
+            stop.slot(), [&](const std::exception_ptr&, const std::string&) {
+                done = true;
+            }));
+    run_until([&] { return gate.waiting.size() == 1; });
+    stop.emit(asio::cancellation_type::terminal);
+    run_until([&] { return done && gate.canceled == 1; });
+    CHECK(target.server.counters().streams_reset == 1);
+
+    counted_body body{1ULL << 40};
+    bool canceled = false;
+    test_server streaming(
+        [&](fj::peer_request request) -> fj::awaitable<fj::streamed_response> {
+            request.on_cancel([&] { canceled = true; });
+            co_return fj::streamed_response{
+                200, {}, std::nullopt, body.reader()};
+        });
+    test_client reader(streaming.address);
+    const auto drop = [&]() -> fj::awaitable<bool> {
+        auto response = co_await reader.client.send(
+            reader.address, "", get("/"), in_10_s());
+        co_return response.has_value();
+    };
+    CHECK(run(drop()));
+    run_until([&] { return canceled; });
+    run_until([&] { return streaming.server.open_streams() == 0; });
+}
+
+TEST_CASE("a connection cut in the middle of a request cancels it")
+{
+    std::string seen;
+    bool canceled = false;
+    test_server target(
+        [&](fj::peer_request request) -> fj::awaitable<fj::streamed_response> {
+            request.on_cancel([&] { canceled = true; });
+            auto body = co_await fj::read_body(request.message.body, 100);
+            seen = body ? "whole" : std::string(to_string(body.error().code));
+            co_return text_response(200, "");
+        });
+    {
+        test_client peer(target.address);
+        fj::detail::event never(io().get_executor());
+        bool sending = false;
+        auto request = post("", std::nullopt);
+        request.body = [&, part = fj::string_body("part"),
+                        count = 0](asio::mutable_buffer output) mutable {
+            const auto wait = [](fj::detail::event& forever)
+                -> fj::awaitable<fj::result<std::size_t>> {
+                co_await forever.wait();
+                co_return std::size_t{0};
+            };
+            sending = ++count > 1;
+            return sending ? wait(never) : part(output);
+        };
+        const auto response = start(peer.fetch(std::move(request)));
+        run_until([&] { return sending && target.calls == 1; });
+        peer.client.close();
+        run_until([&] { return response->has_value(); });
+        CHECK(**response == "connection_broken");
+        // The body's reader is dropped before what it refers to.
+        run_until([&] { return !seen.empty() && canceled; });
+    }
+    CHECK(seen == "truncated");
+}
+
+TEST_CASE("a body that fails at its source is not taken for a whole one")
+{
+    std::string seen;
+    test_server target(
+        [&](fj::peer_request request) -> fj::awaitable<fj::streamed_response> {
+            auto body = co_await fj::read_body(request.message.body, 100);
+            seen = body ? "whole" : std::string(to_string(body.error().code));
+            co_return fj::streamed_response{
+                200, {}, std::nullopt, broken_body()};
+        });
+    test_client peer(target.address);
+    CHECK(peer.fetch_now(get("/")) == "body truncated");
+    CHECK(seen == "whole");
+    seen.clear();
+    auto request = post("", std::nullopt);
+    request.body = broken_body();
+    CHECK(peer.fetch_now(std::move(request)) == "timeout");
+    run_until([&] { return !seen.empty(); });
+    CHECK(seen == "truncated");
+    // Bodies that differ from their declared length fail as well.
+    CHECK(peer.fetch_now(post("short", 10)) == "truncated");
+    CHECK(peer.fetch_now(post("long", 2)) == "malformed");
+}
+
+TEST_CASE("GOAWAY lets open streams finish and takes no new ones")
+{
+    gated_handler gate;
+    test_server target(use(gate));
+    test_client peer(target.address);
+    const auto open = start(peer.fetch(get("/open")));
+    run_until([&] { return gate.waiting.size() == 1; });
+    target.server.begin_shutdown();
+    // This request crosses the GOAWAY on its way.
+    const auto crossing = start(peer.fetch(get("/crossing")));
+    run_until([&] { return crossing->has_value(); });
+    CHECK(**crossing == "connection_failed");
+    CHECK(peer.fetch_now(get("/after")) == "connection_failed");
+    gate.release("/open");
+    run_until([&] { return open->has_value(); });
+    CHECK(**open == "200 /open");
+    CHECK(target.calls == 1);
+}
+
+TEST_CASE("a long response ends whole although GOAWAY came meanwhile")
+{
+    counted_body body{4'000'000};
+    test_server target(
+        [&](fj::peer_request) -> fj::awaitable<fj::streamed_response> {
+            co_return fj::streamed_response{
+                200, {}, std::nullopt, body.reader()};
+        });
+    test_client peer(target.address);
+    const auto response = start(peer.fetch(get("/")));
+    run_until([&] { return body.taken > 0; });
+    target.server.begin_shutdown();
+    run_until([&] { return response->has_value(); });
+    CHECK(**response == "200 " + std::string(body.size, 'x'));
+}
+
+TEST_CASE("an unread body is buffered up to its window and stalls no other")
+{
+    // The window, the piece being sent and the piece read meanwhile.
+    constexpr std::uint64_t bound = 64 * 1024 + 2 * 16 * 1024;
+    constexpr std::uint64_t size = 64ULL << 20;
+    counted_body body{size};
+    test_server target(
+        [&](fj::peer_request request) -> fj::awaitable<fj::streamed_response> {
+            if (request.message.target == "/big") {
+                co_return fj::streamed_response{200, {}, size, body.reader()};
+            }
+            co_return text_response(200, "small");
+        });
+    test_client peer(target.address);
+    std::uint64_t read = 0;
+    std::uint64_t most_ahead = 0;
+    fj::detail::event go(io().get_executor());
+    const auto download = [&]() -> fj::awaitable<bool> {
+        auto response =
+            co_await peer.client.send(peer.address, "", get("/big"), in_10_s());
+        co_await go.wait();
+        std::vector<char> piece(10'000);
+        for (;;) {
+            const auto got =
+                co_await response.value().body(asio::buffer(piece));
+            if (!got || got.value() == 0)
+                co_return got.has_value();
+            read += got.value();
+            most_ahead = std::max(most_ahead, body.taken - read);
+        }
+    };
+    const auto done = start(download());
+    run_until([&] { return body.taken >= 64 * 1024; });
+    for (int i = 0; i != 100; ++i)
+        REQUIRE(peer.fetch_now(get("/small")) == "200 small");
+    CHECK(body.taken <= bound);
+    go.notify();
+    run_until([&] { return done->has_value(); });
+    CHECK(**done);
+    CHECK(read == size);
+    CHECK(most_ahead <= bound);
+}
+
+TEST_CASE("a request body that nobody reads is bounded and then dropped")
+{
+    constexpr std::uint64_t bound = 64 * 1024 + 2 * 16 * 1024;
+    counted_body body{1ULL << 40};
+    gated_handler gate;
+    test_server target(use(gate));
+    test_client peer(target.address);
+    fj::streamed_request request{
+        "POST", "/early", {}, std::nullopt, body.reader()};
+    const auto response = start(peer.fetch(std::move(request)));
+    run_until([&] { return body.taken >= 64 * 1024; });
+    const auto other = start(peer.fetch(get("/other")));
+    gate.release("/other");
+    run_until([&] { return other->has_value(); });
+    CHECK(body.taken <= bound);
+    // A response that comes before the request's end is still whole.
+    gate.release("/early");
+    run_until([&] { return response->has_value(); });
+    CHECK(**response == "200 /early");
+    run_until([&] { return target.server.open_streams() == 0; });
+    CHECK(body.taken <= bound);
+    CHECK(gate.canceled == 0);
+}
+
+TEST_CASE("heads that cannot be carried are refused where they arise")
+{
+    const quiet_log quiet;
+    test_server target(
+        [](fj::peer_request request) -> fj::awaitable<fj::streamed_response> {
+            if (request.message.target == "/throw")
+                throw std::runtime_error("fault");
+            auto response = text_response(200, "");
+            response.headers.push_back({"x", "a\r\nb: c"});
+            co_return response;
+        });
+    test_client peer(target.address);
+    CHECK(peer.fetch_now(get("/throw")) == "500 ");
+    CHECK(peer.fetch_now(get("/forge")) == "500 ");
+    CHECK(peer.fetch_now(get("/a b")) == "invalid_argument");
+    CHECK(peer.fetch_now(get("http://a/")) == "invalid_argument");
+    const std::vector<fj::header_field> fields = {
+        {"x", "a\r\nb: c"},
+        {"a b", "c"},
+        {":path", "/"},
+        {"Upper", "x"},
+        {"host", "a b"}};
+    for (const auto& field : fields) {
+        auto request = get("/");
+        request.headers.push_back(field);
+        CHECK(peer.fetch_now(std::move(request)) == "invalid_argument");
+    }
+    auto large = get("/");
+    large.headers.push_back({"x", std::string(70'000, 'x')});
+    CHECK(peer.fetch_now(std::move(large)) == "too_large");
+}
+
+TEST_CASE("a client opens a new connection after its peer was replaced")
+{
+    auto first = std::make_unique<test_server>(describe);
+    test_client peer(first->address);
+    CHECK(peer.fetch_now(get("/1")) == "200 client GET /1\nhost=server\n");
+    const auto address = first->address;
+    first->server.close();
+    fj::peer_server second(
+        io().get_executor(), identity("server"), {}, describe);
+    REQUIRE(second.listen(address));
+    // The client has not run since, so only the kernel knows of the close.
+    CHECK(peer.fetch_now(get("/2")) == "200 client GET /2\nhost=server\n");
+    CHECK(peer.client.counters().connections_opened == 2);
+    peer.client.forget(address);
+    CHECK(peer.fetch_now(get("/3")) == "200 client GET /3\nhost=server\n");
+    CHECK(peer.client.counters().connections_opened == 3);
+}
+
+TEST_CASE("peers talk under TLS where it is configured")
+{
+    const quiet_log quiet;
+    test_server target(describe, {}, make_tls_context());
+    auto context =
+        std::make_shared<asio::ssl::context>(asio::ssl::context::tls_client);
+    test_client peer(target.address, "secret", context);
+    const std::string text(1'000'000, 'b');
+    CHECK(
+        peer.fetch_now(post(text, text.size())) ==
+        "200 client POST /echo\nhost=server\n" + text);
+    test_client plain(target.address);
+    CHECK(plain.fetch_now(get("/")) == "connection_failed");
+    context->set_verify_mode(asio::ssl::verify_peer);
+    test_client strict(target.address, "secret", context);
+    CHECK(strict.fetch_now(get("/")) == "connection_failed");
+    CHECK(target.calls == 1);
+}
--- a/src/peer/session.cpp
+++ b/src/peer/session.cpp
@@ -113,6 +113,39 @@
     std::size_t size_ = 0;
 };
 
+using field_check = int (*)(const std::uint8_t*, std::size_t);
+
+bool passes(field_check check, std::string_view text)
+{
+    return check(
+               reinterpret_cast<const std::uint8_t*>(text.data()),
+               text.size()) != 0;
+}
+
+/// Returns the request's host; HTTP/2 requires one, so that a request
+/// without it names the peer.
+std::string_view
+choose_authority(const streamed_request& request, std::string_view peer_name)
+{
+    const auto host = find_header(request.headers, "host");
+    if (host && !host->empty())
+        return *host;
+    return passes(nghttp2_check_authority, peer_name) ? peer_name : "peer";
+}
+
+/// Whether the peer's nghttp2 will accept the request's pseudo fields; what
+/// it does not accept would end as a broken stream.
+bool is_valid_start(const streamed_request& request, std::string_view authority)
+{
+    const auto& target = request.target;
+    const bool has_form = target.starts_with('/') ||
+                          (request.method == "OPTIONS" && target == "*");
+    return passes(nghttp2_check_method, request.method) &&
+           request.method != "CONNECT" && has_form &&
+           passes(nghttp2_check_path, target) &&
+           passes(nghttp2_check_authority, authority);
+}
+
 } // namespace
 
 std::optional<std::uint64_t> find_content_length(const header_fields& fields)
@@ -426,6 +459,9 @@
         if (!self->collect_output(output))
             co_return;
         if (output.empty()) {
+            // Streams that are left then have met an error of the protocol.
+            if (!self->has_work() && !self->streams_.empty())
+                co_return;
             if (!self->has_work())
                 break;
             co_await self->output_ready_.wait();
@@ -541,9 +577,9 @@
     flush();
 }
 
-bool peer_session::accepts_streams() const
+bool peer_session::accepts_streams()
 {
-    return open_ && !goaway_ &&
+    return open_ && !goaway_ && !stream_.is_peer_gone() &&
            nghttp2_session_check_request_allowed(session_) != 0;
 }
 
@@ -579,20 +615,14 @@
 result<stream_ptr>
 peer_session::open(const streamed_request& request, bool has_body)
 {
-    const auto host = find_header(request.headers, "host");
     const auto length = std::to_string(request.content_length.value_or(0));
+    const auto authority = choose_authority(request, peer_name_);
     field_list fields;
     fields.add(":method", request.method);
     fields.add(":scheme", "http");
-    if (host && !host->empty())
-        fields.add(":authority", *host);
+    fields.add(":authority", authority);
     fields.add(":path", request.target);
-    const bool is_valid = is_token(request.method) && !request.target.empty() &&
-                          request.target.find(' ') == std::string::npos &&
-                          field_list::is_value(request.target) &&
-                          (!host || field_list::is_value(*host)) &&
-                          fields.add_all(request.headers);
-    if (!is_valid)
+    if (!is_valid_start(request, authority) || !fields.add_all(request.headers))
         return fail(errc::invalid_argument, "peer.send", peer_name_);
     if (has_body && request.content_length)
         fields.add("content-length", length);
--- a/src/peer/session.hpp
+++ b/src/peer/session.hpp
@@ -128,8 +128,9 @@
     void close();
 
     bool is_open() const { return open_; }
-    /// Whether new streams can be opened.
-    bool accepts_streams() const;
+    /// Whether new streams can be opened; asks the kernel whether the peer
+    /// has closed, so that a request rarely meets a dead connection.
+    bool accepts_streams();
     std::size_t stream_count() const { return streams_.size(); }
     const std::string& peer_name() const { return peer_name_; }
     const peer_limits& limits() const { return limits_; }
