--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -173,6 +173,7 @@
         auto last = std::move(kept_.back());
         kept_.pop_back();
         auto& link = *last.link;
+        link.on_end = nullptr;
         if (last.since >= oldest && link.is_open() && !link.has_ended() &&
             link.input().empty() && !link.stream().is_peer_gone())
             return last.link;
@@ -195,6 +196,10 @@
             other.link->close();
         return expired;
     });
+    link->on_end = [weak = std::weak_ptr<connection>(link)] {
+        if (const auto ended = weak.lock())
+            ended->close();
+    };
     kept_.push_back({std::move(link), clock::now()});
 }
 
