--- a/include/fulmarjunction/http/http.hpp
+++ b/include/fulmarjunction/http/http.hpp
@@ -29,12 +29,15 @@
     milliseconds idle_timeout{10'000};
 };
 
-/// A request on a server connection.
+/// A request on a server connection. `content-length` and fields that belong
+/// to one connection are not among its header fields.
 struct http_request
 {
     streamed_request message;
     boost::asio::ip::tcp::endpoint from;
-    /// Registers what to do at once when the caller's connection ends.
+    /// Registers what to do at once when the caller's connection ends, also
+    /// while the response is being sent. A caller that only closes its
+    /// sending side counts as gone; it still gets the response.
     std::function<void(std::function<void()>)> on_cancel;
 };
 
@@ -50,7 +53,9 @@
 /// Serves HTTP/1.1 with keep-alive, optionally under TLS.
 ///
 /// Refuses malformed heads, heads over the limit, and requests that give
-/// both Content-Length and Transfer-Encoding, or either of them twice.
+/// both Content-Length and Transfer-Encoding, or either of them twice. A
+/// response whose body fails or differs from its declared length ends in a
+/// reset of the connection, never in a proper end.
 class http_server
 {
 public:
@@ -95,9 +100,14 @@
     /// answered in full is closed and never used again. Destroying the
     /// answer's body before its end closes the connection; so does
     /// canceling the coroutine.
-    /// @return `errc::connection_failed` when no byte was sent,
-    ///         `errc::connection_broken`, `errc::malformed` or
-    ///         `errc::timeout` when the request may have been processed
+    ///
+    /// A body without Content-Length and chunks ends with the connection; a
+    /// reset is `errc::truncated`, a proper close is its end.
+    /// @return `errc::connection_failed` when no byte was sent (also when the
+    ///         deadline passed before), `errc::invalid_argument` when the
+    ///         head cannot be sent, `errc::connection_broken`,
+    ///         `errc::malformed` or `errc::timeout` when the request may have
+    ///         been processed, or the error of the request's body
     awaitable<result<streamed_response>>
     send(streamed_request request, time_point deadline);
 
--- a/include/fulmarjunction/peer/peer.hpp
+++ b/include/fulmarjunction/peer/peer.hpp
@@ -113,15 +113,20 @@
     peer_client(const peer_client&) = delete;
     peer_client& operator=(const peer_client&) = delete;
 
-    /// Sends a request and waits for the head of its answer. Destroying the
+    /// Sends a request and waits for the head of its answer. The target
+    /// starts with `/`, field names are lower case, and the field `host`
+    /// becomes the authority (the peer's name without it). Destroying the
     /// answer's body before its end resets the stream. Canceling the
     /// coroutine resets the stream.
     /// @param expected name that the peer must prove; empty accepts any
     /// @return `errc::connection_failed` when no byte of the request was
     ///         processed by the peer (no connection, a refused stream, or
-    ///         GOAWAY below the stream's id); `errc::connection_broken` when
-    ///         the stream or connection broke later; `errc::timeout` when
-    ///         no head came before `deadline`
+    ///         GOAWAY below the stream's id, or a deadline that passed
+    ///         before the request was sent); `errc::invalid_argument` or
+    ///         `errc::too_large` when the head cannot be sent;
+    ///         `errc::connection_broken` when the stream or connection broke
+    ///         later; `errc::timeout` when no head came before `deadline`;
+    ///         or the error of the request's body
     awaitable<result<streamed_response>> send(
         boost::asio::ip::tcp::endpoint address, instance_name expected,
         streamed_request request, time_point deadline);
--- a/src/http/http_test.cpp
+++ b/src/http/http_test.cpp
@@ -128,7 +128,8 @@
 struct test_server
 {
     explicit test_server(
-        fj::http_handler handler, fj::http_limits limits = patient_limits(),
+        const fj::http_handler& handler,
+        fj::http_limits limits = patient_limits(),
         std::shared_ptr<asio::ssl::context> tls = nullptr)
         : server(
               io().get_executor(), limits,
@@ -171,7 +172,8 @@
     scripted_server(std::string answer, bool close_after)
         : acceptor(io(), any_port), address(acceptor.local_endpoint())
     {
-        asio::co_spawn(io(), accept(answer, close_after), asio::detached);
+        asio::co_spawn(
+            io(), accept(std::move(answer), close_after), asio::detached);
     }
 
     fj::awaitable<void> accept(std::string answer, bool close_after)
@@ -598,7 +600,7 @@
         CHECK(body.value().empty());
         co_return response.value().content_length;
     };
-    CHECK(run(send(std::move(head))) == 4);
+    CHECK(run(send(head)) == 4);
     run(send(get("/204")));
     run(send(get("/304")));
     CHECK(fetch_now(client, get("/200")) == "200 text");
@@ -757,7 +759,7 @@
         };
         return ++count == 1 ? part(output) : broken(output);
     };
-    CHECK(fetch_now(client, std::move(request)) == "timeout");
+    CHECK(fetch_now(client, request) == "timeout");
     run_until([&] { return !seen.empty(); });
     CHECK(seen == "truncated");
 }
@@ -773,7 +775,7 @@
     CHECK(fetch_now(client, get("/ x")) == "invalid_argument");
     auto forged = get("/");
     forged.headers.push_back({"x", "a\r\nb: c"});
-    CHECK(fetch_now(client, std::move(forged)) == "invalid_argument");
+    CHECK(fetch_now(client, forged) == "invalid_argument");
     CHECK(
         run(fetch(client, get("/"), fj::clock::now())) == "connection_failed");
 }
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -81,7 +81,7 @@
 {
 public:
     impl(
-        asio::any_io_executor executor, http_limits limits,
+        const asio::any_io_executor& executor, http_limits limits,
         http_handler handler, http_refusal_handler refuse,
         std::shared_ptr<asio::ssl::context> tls)
         : executor_(executor), acceptor_(executor), limits_(limits),
@@ -402,7 +402,7 @@
     asio::any_io_executor executor, http_limits limits, http_handler handler,
     http_refusal_handler refuse, std::shared_ptr<asio::ssl::context> tls)
     : impl_(std::make_shared<impl>(
-          std::move(executor), limits, std::move(handler), std::move(refuse),
+          executor, limits, std::move(handler), std::move(refuse),
           std::move(tls)))
 {
 }
--- a/src/peer/peer_test.cpp
+++ b/src/peer/peer_test.cpp
@@ -134,7 +134,8 @@
 struct test_server
 {
     explicit test_server(
-        fj::peer_handler handler, fj::peer_limits limits = patient_limits(),
+        const fj::peer_handler& handler,
+        fj::peer_limits limits = patient_limits(),
         std::shared_ptr<asio::ssl::context> tls = nullptr)
         : server(
               io().get_executor(), identity("server"), limits,
@@ -305,7 +306,8 @@
     scripted_server(std::string frames, bool close_after)
         : acceptor(io(), any_port), address(acceptor.local_endpoint())
     {
-        asio::co_spawn(io(), serve(frames, close_after), asio::detached);
+        asio::co_spawn(
+            io(), serve(std::move(frames), close_after), asio::detached);
     }
 
     fj::awaitable<void> serve(std::string frames, bool close_after)
@@ -418,7 +420,7 @@
                        {"keep-alive", "1"},     {"upgrade", "h2c"},
                        {"te", "gzip"}};
     CHECK(
-        peer.fetch_now(std::move(request)) ==
+        peer.fetch_now(request) ==
         "200 client POST /echo\nfj-account=a\nhost=notes\nbody");
     CHECK(
         peer.fetch_now(get("/x?y=1")) ==
@@ -443,7 +445,7 @@
     test_client peer(target.address);
     auto head = get("/200");
     head.method = "HEAD";
-    CHECK(peer.fetch_now(std::move(head)) == "200 ");
+    CHECK(peer.fetch_now(head) == "200 ");
     CHECK(peer.fetch_now(get("/204")) == "204 ");
     CHECK(peer.fetch_now(get("/304")) == "304 ");
     CHECK(peer.fetch_now(get("/200")) == "200 text");
@@ -777,7 +779,7 @@
     seen.clear();
     auto request = post("", std::nullopt);
     request.body = broken_body();
-    CHECK(peer.fetch_now(std::move(request)) == "timeout");
+    CHECK(peer.fetch_now(request) == "timeout");
     run_until([&] { return !seen.empty(); });
     CHECK(seen == "truncated");
     // Bodies that differ from their declared length fail as well.
@@ -912,11 +914,11 @@
     for (const auto& field : fields) {
         auto request = get("/");
         request.headers.push_back(field);
-        CHECK(peer.fetch_now(std::move(request)) == "invalid_argument");
+        CHECK(peer.fetch_now(request) == "invalid_argument");
     }
     auto large = get("/");
     large.headers.push_back({"x", std::string(70'000, 'x')});
-    CHECK(peer.fetch_now(std::move(large)) == "too_large");
+    CHECK(peer.fetch_now(large) == "too_large");
 }
 
 TEST_CASE("a client opens a new connection after its peer was replaced")
--- a/src/peer/server.cpp
+++ b/src/peer/server.cpp
@@ -71,7 +71,7 @@
 {
 public:
     impl(
-        asio::any_io_executor executor, peer_identity identity,
+        const asio::any_io_executor& executor, peer_identity identity,
         peer_limits limits, peer_handler handler,
         std::shared_ptr<asio::ssl::context> tls)
         : executor_(executor), acceptor_(executor),
@@ -183,7 +183,7 @@
         if (const auto closed = weak.lock())
             self->sessions_.erase(closed);
     };
-    session->start([self, weak](stream_ptr source) {
+    session->start([self, weak](const stream_ptr& source) {
         // Not inside the call of nghttp2 that reported the request.
         asio::post(self->executor_, [self, weak, source] {
             if (auto owner = weak.lock()) {
@@ -265,7 +265,7 @@
     asio::any_io_executor executor, peer_identity identity, peer_limits limits,
     peer_handler handler, std::shared_ptr<asio::ssl::context> tls)
     : impl_(std::make_shared<impl>(
-          std::move(executor), std::move(identity), limits, std::move(handler),
+          executor, std::move(identity), limits, std::move(handler),
           std::move(tls)))
 {
 }
