--- a/include/fulmarjunction/membership/membership.hpp
+++ b/include/fulmarjunction/membership/membership.hpp
@@ -204,7 +204,7 @@
 
     /// Availability zones of all instances that exist, this node's included:
     /// to `freshness::set_zones`.
-    std::set<availability_zone> zones() const;
+    const std::set<availability_zone>& zones() const;
 
     bool is_down(const instance_name& name) const;
     /// Returns what is known of an instance, if it exists.
--- a/include/fulmarjunction/membership/own_row.hpp
+++ b/include/fulmarjunction/membership/own_row.hpp
@@ -57,7 +57,8 @@
     /// Result of a commit step.
     void committed(const result<table_version>& outcome, time_point now);
 
-    /// The backend server's service or slots became known or changed.
+    /// The backend server's service or slots became known or changed. The
+    /// first announcement waits for this for up to 2 s.
     void set_backend(const service_name& service, std::size_t slots);
 
     /// The node is leaving: the row is to say so.
@@ -103,6 +104,8 @@
     duration first_wait_;
     duration wait_;
     time_point due_;
+    /// The first write waits until then for the backend server's service.
+    time_point service_due_;
     flight flight_ = flight::none;
     bool must_read_ = true;
     bool announced_ = false;
@@ -148,10 +151,13 @@
         table_version version = 0;
         duration lease{};
         time_point first_read;
+        /// When the row lapses, or its deletion is to be tried again.
         time_point next_try;
     };
 
     std::map<std::string, entry, std::less<>> entries_;
+    /// Before this time no row is due.
+    time_point next_look_ = time_point::max();
 };
 
 } // namespace fulmarjunction
--- a/src/membership/fleet_simulation.hpp
+++ b/src/membership/fleet_simulation.hpp
@@ -240,21 +240,20 @@
             action();
     }
 
-    // Fills every replica and the store with all instances, as in a fleet
-    // that has run for long.
+    // Starts all nodes as in a fleet that has run for long: every row is in
+    // the store and in every replica.
     void prime()
     {
         for (auto& one : nodes) {
-            auto record = one->record;
-            record.life = 1'600'000'000'000'000ULL;
-            record.renewals = 1;
-            (void)table.commit(
-                {{}, {{instance_row_key(record.name), to_json(record)}}});
-        }
-        for (auto& one : nodes)
             start(*one);
-        for (auto& one : nodes)
+            announce_backend(*one);
+            for (int step = 0; step != 3; ++step)
+                settle_own_row(*one);
+        }
+        for (auto& one : nodes) {
             one->rows->apply_list(table.list(0, nodes.size() + 1), 0);
+            one->fresh->replica_advanced(one->rows->version());
+        }
     }
 
     void run(duration span)
@@ -363,16 +362,29 @@
         at_node(one, first, [this, &one] { tick(one); });
     }
 
+    void announce_backend(node& one)
+    {
+        one.next_announcement = now_ + seconds(1);
+        one.members->backend_announced(
+            {one.record.service, one.record.slots, one.backend_draining}, now_);
+        one.own->set_backend(one.record.service, one.record.slots);
+    }
+
+    // One step of the own row, without a delay.
+    void settle_own_row(node& one)
+    {
+        const auto action = one.own->next(now_);
+        if (action.step == own_row_step::read)
+            one.own->read(table.get(action.key), now_);
+        if (action.step == own_row_step::commit)
+            one.own->committed(table.commit(action.change), now_);
+    }
+
     void tick(node& one)
     {
         at_node(one, milliseconds(100), [this, &one] { tick(one); });
-        if (one.backend_up && now_ >= one.next_announcement) {
-            one.next_announcement = now_ + seconds(1);
-            one.members->backend_announced(
-                {one.record.service, one.record.slots, one.backend_draining},
-                now_);
-            one.own->set_backend(one.record.service, one.record.slots);
-        }
+        if (one.backend_up && now_ >= one.next_announcement)
+            announce_backend(one);
         if (now_ >= one.next_second) {
             one.next_second = now_ + seconds(1);
             every_second(one);
--- a/src/membership/instance_table.cpp
+++ b/src/membership/instance_table.cpp
@@ -71,7 +71,14 @@
         log_.erase(place.position);
 }
 
-void instance_table::set_own(const instance_status& status, time_point now)
+bool instance_table::has_own_row(incarnation life) const
+{
+    const auto found = entries_.find(self_);
+    return found != entries_.end() && found->second.row_life == life;
+}
+
+void instance_table::set_own(
+    const instance_status& status, time_point now, bool spread)
 {
     auto& entry = entries_[self_];
     entry.status = status;
@@ -84,7 +91,8 @@
     }
     set_exists(self_, entry);
     reindex(self_, entry);
-    record_change(entry.status_place, self_, {}, 0);
+    if (spread)
+        record_change(entry.status_place, self_, {}, 0);
 }
 
 void instance_table::set_exists(
@@ -547,30 +555,34 @@
     return entry.exists && !entry.down && !leaving;
 }
 
+void instance_table::refresh() const
+{
+    if (live_is_current_)
+        return;
+    live_is_current_ = true;
+    live_.clear();
+    zones_.clear();
+    for (const auto& [name, entry] : entries_) {
+        if (entry.exists)
+            zones_.insert(entry.record.zone);
+        if (!is_live(entry))
+            continue;
+        live_[entry.record.zone].push_back(name);
+        live_[availability_zone()].push_back(name);
+    }
+}
+
 const std::vector<instance_name>&
 instance_table::live(const availability_zone& zone) const
 {
-    if (!live_is_current_) {
-        live_.clear();
-        for (const auto& [name, entry] : entries_) {
-            if (!is_live(entry))
-                continue;
-            live_[entry.record.zone].push_back(name);
-            live_[availability_zone()].push_back(name);
-        }
-        live_is_current_ = true;
-    }
+    refresh();
     return live_[zone];
 }
 
-std::set<availability_zone> instance_table::zones() const
+const std::set<availability_zone>& instance_table::zones() const
 {
-    std::set<availability_zone> zones;
-    for (const auto& [name, entry] : entries_) {
-        if (entry.exists && !zones.contains(entry.record.zone))
-            zones.insert(entry.record.zone);
-    }
-    return zones;
+    refresh();
+    return zones_;
 }
 
 std::size_t instance_table::state_bytes() const
--- a/src/membership/instance_table.hpp
+++ b/src/membership/instance_table.hpp
@@ -41,7 +41,9 @@
     void start_log(std::int64_t base);
     std::uint64_t log_end() const { return log_end_; }
 
-    void set_own(const instance_status& status, time_point now);
+    // `spread`: whether the status goes into the log.
+    void set_own(const instance_status& status, time_point now, bool spread);
+    bool has_own_row(incarnation life) const;
     void apply_row(const table_row& row, time_point now);
 
     // Returns whether the status was newer than the one known.
@@ -94,7 +96,7 @@
     std::vector<service_name> services() const;
     // Live instances of a zone, or all when it is empty.
     const std::vector<instance_name>& live(const availability_zone& zone) const;
-    std::set<availability_zone> zones() const;
+    const std::set<availability_zone>& zones() const;
     std::size_t size() const { return ring_.size(); }
     std::size_t state_bytes() const;
 
@@ -137,6 +139,7 @@
     using entry_map = std::map<instance_name, instance_entry>;
 
     void changed();
+    void refresh() const;
     bool is_live(const instance_entry& entry) const;
     void record_change(
         log_place& place, const instance_name& about,
@@ -169,6 +172,7 @@
     std::uint64_t log_end_ = 0;
     // Live instances by zone, all under the empty name; made when asked for.
     mutable std::map<availability_zone, std::vector<instance_name>> live_;
+    mutable std::set<availability_zone> zones_;
     mutable bool live_is_current_ = false;
     std::set<instance_name> unsupported_;
     std::set<instance_name> reported_;
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -77,7 +77,7 @@
         own_.name = self_.name;
         own_.life = self_.life;
         own_.record = self_;
-        table_.set_own(own_, start);
+        publish_own(start);
         next_seed_probe_ = start;
     }
 
@@ -88,6 +88,7 @@
         self_.life = life;
         own_.life = life;
         restart_log();
+        spreads_ = false;
         publish_own(start_);
     }
 
@@ -136,6 +137,7 @@
         notice_pause(now);
         if (announced_at_ && now - *announced_at_ >= settings_.announce_timeout)
             backend_lost(now);
+        begin_to_spread(now);
         update_targets(now);
         for (auto& [name, target] : targets_)
             update_report(name, target, now);
@@ -260,7 +262,19 @@
     void publish_own(time_point now)
     {
         own_.record = self_;
-        table_.set_own(own_, now);
+        table_.set_own(own_, now, spreads_);
+    }
+
+    /// Until the table has had time to spread this node's row, its status is
+    /// not sent: the status alone would carry the whole record with it.
+    void begin_to_spread(time_point now)
+    {
+        if (spreads_)
+            return;
+        spreads_ = table_.has_own_row(self_.life) ||
+                   now - start_ >= settings_.announce_timeout;
+        if (spreads_)
+            publish_own(now);
     }
 
     void set_own(instance_status status, time_point now)
@@ -452,8 +466,8 @@
             add_section(message, name, part, to);
         if (to.empty()) {
             // A seed's name is not known yet: it only learns who we are.
-            message.upto = 0;
-            if (auto status = table_.status_to_send(self_.name))
+            auto status = table_.status_to_send(self_.name);
+            if (status && spreads_)
                 message.statuses.push_back(std::move(*status));
             return message;
         }
@@ -656,6 +670,7 @@
     std::vector<pending_relay> relays_;
     std::optional<time_point> announced_at_;
     std::optional<time_point> last_tick_;
+    bool spreads_ = false;
     time_point relay_window_;
     time_point peers_checked_;
     std::size_t relayed_ = 0;
@@ -769,7 +784,7 @@
     return impl_->table().live(zone);
 }
 
-std::set<availability_zone> membership::zones() const
+const std::set<availability_zone>& membership::zones() const
 {
     return impl_->table().zones();
 }
--- a/src/membership/own_row.cpp
+++ b/src/membership/own_row.cpp
@@ -12,6 +12,9 @@
 /// Renewals in a lease: two may fail before it lapses.
 constexpr int renewals_per_lease = 3;
 constexpr duration max_wait = seconds(60);
+/// A backend server announces itself each second; waiting for it saves the
+/// fleet a second version of the row at each start.
+constexpr duration service_wait = seconds(2);
 /// Clock rates of instances differ by less than this fraction.
 constexpr int clock_rate_divisor = 100;
 /// A deletion that was returned is returned again after this time: its
@@ -24,7 +27,8 @@
     instance_record record, time_point start,
     std::function<std::uint64_t()> random, duration retry_after)
     : wanted_(std::move(record)), random_(std::move(random)),
-      first_wait_(retry_after), wait_(retry_after), due_(start)
+      first_wait_(retry_after), wait_(retry_after), due_(start),
+      service_due_(start + service_wait)
 {
     wanted_.renewals = 0;
 }
@@ -55,6 +59,8 @@
         return {};
     if (must_read_)
         return read_step();
+    if (!announced_ && wanted_.service.empty() && now < service_due_)
+        return {};
     if (removing_ || !in_row_ || is_renewal_due(now) || *in_row_ != wanted_)
         return write_step(now);
     return {};
@@ -223,7 +229,8 @@
     // In units of the clock, so that a short lease's hundredth is not lost.
     held.lease = duration(now_read.lease) +
                  duration(now_read.lease) / clock_rate_divisor;
-    held.next_try = now;
+    held.next_try = held.first_read + held.lease;
+    next_look_ = std::min(next_look_, held.next_try);
 }
 
 bool lapse_watch::is_lapsed(
@@ -240,10 +247,12 @@
     const std::vector<instance_name>& live, std::size_t limit)
 {
     std::vector<table_transaction> deletions;
+    if (now < next_look_)
+        return deletions;
+    next_look_ = time_point::max();
     for (auto& [key, held] : entries_) {
-        if (deletions.size() == limit)
-            break;
-        if (now - held.first_read < held.lease || now < held.next_try)
+        next_look_ = std::min(next_look_, held.next_try);
+        if (now < held.next_try || deletions.size() == limit)
             continue;
         const bool is_live =
             std::find(live.begin(), live.end(), held.name) != live.end();
