--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -21,6 +21,12 @@
 /// what it missed.
 constexpr duration peer_memory = std::chrono::hours(1);
 
+/// A stamp held for longer is not echoed: evidence of such an age decides
+/// nothing, and a message bounds its ages.
+constexpr duration max_held = seconds(60);
+/// Longest term of a report, however many there are.
+constexpr duration max_report_term = std::chrono::minutes(30);
+
 /// What this node and one peer know of each other.
 struct peer_state
 {
@@ -243,20 +249,28 @@
 
     /// Positions of a restarted node's log are above those of its earlier
     /// life, so that a confirmation of an earlier position confirms nothing.
-    void restart_log() { table_.start_log(epoch_milliseconds()); }
-
-    std::int64_t epoch_milliseconds() const
+    void restart_log()
     {
         constexpr incarnation microseconds_per_millisecond = 1000;
-        return static_cast<std::int64_t>(
-            self_.life / microseconds_per_millisecond);
+        table_.start_log(static_cast<std::int64_t>(
+            self_.life / microseconds_per_millisecond));
+        stamp_base_ = stamp_base();
+    }
+
+    /// Each life counts its stamps from another number, so that an echo of
+    /// an earlier life's stamp is recognized, whatever its clock was.
+    std::int64_t stamp_base() const
+    {
+        // Below 2^52: sums stay far from overflow.
+        constexpr int unused_bits = 12;
+        const auto hash =
+            placement_hash(self_.name + '/' + std::to_string(self_.life));
+        return static_cast<std::int64_t>(hash >> unused_bits);
     }
 
-    /// Stamps rise from one life of a node to the next, so that an echo of
-    /// an earlier life's stamp is recognized.
     std::int64_t stamp_of(time_point now) const
     {
-        return epoch_milliseconds() + to_milliseconds(now - start_);
+        return stamp_base_ + to_milliseconds(now - start_);
     }
 
     void publish_own(time_point now)
@@ -473,7 +487,7 @@
         }
         const auto& state = peer(to, now);
         message.acknowledged = state.received;
-        if (state.stamp) {
+        if (state.stamp && now - state.stamp_at < max_held) {
             message.echo = state.stamp;
             message.held = std::chrono::floor<milliseconds>(
                 std::max(now - state.stamp_at, duration::zero()));
@@ -549,10 +563,12 @@
     std::optional<time_point>
     stated_at(const probe_message& message, time_point now) const
     {
-        if (!message.echo || *message.echo < epoch_milliseconds())
+        if (!message.echo || *message.echo < stamp_base_)
+            return std::nullopt;
+        const auto since_start = milliseconds(*message.echo - stamp_base_);
+        if (since_start > now - start_)
             return std::nullopt;
-        const auto elapsed =
-            milliseconds(*message.echo - epoch_milliseconds()) + message.held;
+        const auto elapsed = since_start + message.held;
         const auto stated = start_ + elapsed;
         if (stated > now)
             return std::nullopt;
@@ -665,6 +681,7 @@
     std::map<std::string, section> sections_;
     std::vector<service_observer> observers_;
     std::vector<std::string> seeds_;
+    std::int64_t stamp_base_ = 0;
     std::uint64_t seed_tries_ = 0;
     time_point next_seed_probe_;
     std::vector<pending_relay> relays_;
