--- a/src/membership/fleet_simulation.hpp
+++ b/src/membership/fleet_simulation.hpp
@@ -410,15 +410,15 @@
 
     void send_orders(node& one)
     {
-        auto orders = one.members->tick(
+        const auto orders = one.members->tick(
             now_, one.rows->version(), one.fresh->evidence(now_));
-        for (auto& order : orders.probes)
-            send_probe(one, std::move(order));
-        for (auto& order : orders.leaves)
+        for (const auto& order : orders.probes)
+            send_probe(one, order);
+        for (const auto& order : orders.leaves)
             send_leave(one, order);
     }
 
-    void send_probe(node& from, probe_order order)
+    void send_probe(node& from, const probe_order& order)
     {
         const auto text = to_text(order.message);
         count(from, from.sent.probe_bytes, text);
--- a/src/membership/instance_table.cpp
+++ b/src/membership/instance_table.cpp
@@ -6,6 +6,7 @@
 #include <boost/json/serialize.hpp>
 
 #include <algorithm>
+#include <compare>
 #include <tuple>
 #include <utility>
 
@@ -156,13 +157,13 @@
         const auto& held = *entry.status;
         const auto order = std::tie(status.life, status.counter) <=>
                            std::tie(held.life, held.counter);
-        if (order == 0 && from != 0)
+        if (std::is_eq(order) && from != 0)
             entry.status_place.known_by.push_back(from);
         // The sender is behind: it may have been told long ago, before it
         // became a neighbour, so what it lacks is logged again.
-        if (order < 0 && from != 0)
+        if (std::is_lt(order) && from != 0)
             record_change(entry.status_place, status.name, {}, 0);
-        if (order <= 0)
+        if (std::is_lteq(order))
             return false;
     }
     entry.status = status;
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -630,8 +630,10 @@
     {
         const auto current =
             std::max(table_.current_reports(), settings_.reports_unstretched);
-        return span * static_cast<std::int64_t>(current) /
-               static_cast<std::int64_t>(settings_.reports_unstretched);
+        const auto longer =
+            span * static_cast<std::int64_t>(current) /
+            static_cast<std::int64_t>(settings_.reports_unstretched);
+        return std::min(longer, max_report_term);
     }
 
     void state_report(
--- a/src/replica/json_reader.hpp
+++ b/src/replica/json_reader.hpp
@@ -32,30 +32,32 @@
 {
 public:
     bool is_valid() const { return valid_; }
-    void reject() { valid_ = false; }
 
 protected:
+    void require(bool condition) { valid_ = valid_ && condition; }
+
     std::uint64_t read_unsigned(const boost::json::value* value)
     {
         const auto number = to_unsigned(value);
-        valid_ = valid_ && number.has_value();
+        require(number.has_value());
         return number.value_or(0);
     }
 
     bool read_bool(const boost::json::value* value)
     {
         const auto* flag = value == nullptr ? nullptr : value->if_bool();
-        valid_ = valid_ && flag != nullptr;
+        require(flag != nullptr);
         return flag != nullptr && *flag;
     }
 
     std::string read_string(const boost::json::value* value, std::size_t limit)
     {
         const auto* text = value == nullptr ? nullptr : value->if_string();
-        valid_ = valid_ && text != nullptr && text->size() <= limit;
+        require(text != nullptr && text->size() <= limit);
         return valid_ ? std::string(*text) : std::string();
     }
 
+private:
     bool valid_ = true;
 };
 
@@ -66,7 +68,7 @@
     explicit object_reader(const boost::json::value& value)
         : object_(value.if_object())
     {
-        valid_ = object_ != nullptr;
+        require(object_ != nullptr);
     }
 
     const boost::json::value* find(std::string_view name)
@@ -102,13 +104,13 @@
         const auto* value = find(name);
         if (value == nullptr)
             return nullptr;
-        valid_ = valid_ && value->is_array();
+        require(value->is_array());
         return value->if_array();
     }
 
     bool is_complete() const
     {
-        return valid_ && object_ != nullptr && read_ == object_->size();
+        return is_valid() && object_ != nullptr && read_ == object_->size();
     }
 
 private:
@@ -123,7 +125,7 @@
     explicit array_reader(const boost::json::value& value)
         : array_(value.if_array())
     {
-        valid_ = array_ != nullptr;
+        require(array_ != nullptr);
     }
 
     std::size_t left() const
@@ -148,7 +150,7 @@
         return read_unsigned(value);
     }
 
-    bool is_complete() const { return valid_ && left() == 0; }
+    bool is_complete() const { return is_valid() && left() == 0; }
 
 private:
     const boost::json::array* array_;
--- a/src/replica/replica.cpp
+++ b/src/replica/replica.cpp
@@ -174,7 +174,7 @@
 replica::staging& replica::open_staging(const version_range& part)
 {
     if (!staged_ || part.snapshot) {
-        staged_.emplace();
+        staged_.emplace(staging{});
         staged_->snapshot = part.snapshot;
         staged_->end = part.snapshot ? 0 : version_;
         staged_->since = part.snapshot ? part.head : version_;
@@ -416,8 +416,7 @@
 
 rows_delta replica::push(table_version known) const
 {
-    const rows_delta announcement{version_, version_, version_, false,
-                                  {},       {},       {}};
+    rows_delta announcement{version_, version_, version_, false, {}, {}, {}};
     if (known < deletions_from_ || known >= version_)
         return announcement;
     rows_delta delta{known, version_, version_, false, {}, {}, {}};
--- a/src/replica/replica_test.cpp
+++ b/src/replica/replica_test.cpp
@@ -20,9 +20,9 @@
 constexpr fj::time_point start{std::chrono::hours(1)};
 
 fj::table_row
-row(std::string key, fj::table_version version, std::string text = "x")
+row(std::string key, fj::table_version version, const std::string& text = "x")
 {
-    return {std::move(key), boost::json::value(std::move(text)), version};
+    return {std::move(key), boost::json::value(text), version};
 }
 
 fj::table_row tombstone(std::string key, fj::table_version version)
