--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -21,6 +21,12 @@
 /// what it missed.
 constexpr duration peer_memory = std::chrono::hours(1);
 
+/// A stamp held for longer is not echoed: evidence of such an age decides
+/// nothing, and a message bounds its ages.
+constexpr duration max_held = seconds(60);
+/// Longest term of a report, however many there are.
+constexpr duration max_report_term = std::chrono::minutes(30);
+
 /// What this node and one peer know of each other.
 struct peer_state
 {
@@ -77,7 +83,7 @@
         own_.name = self_.name;
         own_.life = self_.life;
         own_.record = self_;
-        table_.set_own(own_, start);
+        publish_own(start);
         next_seed_probe_ = start;
     }
 
@@ -88,6 +94,7 @@
         self_.life = life;
         own_.life = life;
         restart_log();
+        spreads_ = false;
         publish_own(start_);
     }
 
@@ -136,6 +143,7 @@
         notice_pause(now);
         if (announced_at_ && now - *announced_at_ >= settings_.announce_timeout)
             backend_lost(now);
+        begin_to_spread(now);
         update_targets(now);
         for (auto& [name, target] : targets_)
             update_report(name, target, now);
@@ -241,26 +249,46 @@
 
     /// Positions of a restarted node's log are above those of its earlier
     /// life, so that a confirmation of an earlier position confirms nothing.
-    void restart_log() { table_.start_log(epoch_milliseconds()); }
-
-    std::int64_t epoch_milliseconds() const
+    void restart_log()
     {
         constexpr incarnation microseconds_per_millisecond = 1000;
-        return static_cast<std::int64_t>(
-            self_.life / microseconds_per_millisecond);
+        table_.start_log(static_cast<std::int64_t>(
+            self_.life / microseconds_per_millisecond));
+        stamp_base_ = stamp_base();
+    }
+
+    /// Each life counts its stamps from another number, so that an echo of
+    /// an earlier life's stamp is recognized, whatever its clock was.
+    std::int64_t stamp_base() const
+    {
+        // Below 2^52: sums stay far from overflow.
+        constexpr int unused_bits = 12;
+        const auto hash =
+            placement_hash(self_.name + '/' + std::to_string(self_.life));
+        return static_cast<std::int64_t>(hash >> unused_bits);
     }
 
-    /// Stamps rise from one life of a node to the next, so that an echo of
-    /// an earlier life's stamp is recognized.
     std::int64_t stamp_of(time_point now) const
     {
-        return epoch_milliseconds() + to_milliseconds(now - start_);
+        return stamp_base_ + to_milliseconds(now - start_);
     }
 
     void publish_own(time_point now)
     {
         own_.record = self_;
-        table_.set_own(own_, now);
+        table_.set_own(own_, now, spreads_);
+    }
+
+    /// Until the table has had time to spread this node's row, its status is
+    /// not sent: the status alone would carry the whole record with it.
+    void begin_to_spread(time_point now)
+    {
+        if (spreads_)
+            return;
+        spreads_ = table_.has_own_row(self_.life) ||
+                   now - start_ >= settings_.announce_timeout;
+        if (spreads_)
+            publish_own(now);
     }
 
     void set_own(instance_status status, time_point now)
@@ -452,14 +480,14 @@
             add_section(message, name, part, to);
         if (to.empty()) {
             // A seed's name is not known yet: it only learns who we are.
-            message.upto = 0;
-            if (auto status = table_.status_to_send(self_.name))
+            auto status = table_.status_to_send(self_.name);
+            if (status && spreads_)
                 message.statuses.push_back(std::move(*status));
             return message;
         }
         const auto& state = peer(to, now);
         message.acknowledged = state.received;
-        if (state.stamp) {
+        if (state.stamp && now - state.stamp_at < max_held) {
             message.echo = state.stamp;
             message.held = std::chrono::floor<milliseconds>(
                 std::max(now - state.stamp_at, duration::zero()));
@@ -535,10 +563,12 @@
     std::optional<time_point>
     stated_at(const probe_message& message, time_point now) const
     {
-        if (!message.echo || *message.echo < epoch_milliseconds())
+        if (!message.echo || *message.echo < stamp_base_)
+            return std::nullopt;
+        const auto since_start = milliseconds(*message.echo - stamp_base_);
+        if (since_start > now - start_)
             return std::nullopt;
-        const auto elapsed =
-            milliseconds(*message.echo - epoch_milliseconds()) + message.held;
+        const auto elapsed = since_start + message.held;
         const auto stated = start_ + elapsed;
         if (stated > now)
             return std::nullopt;
@@ -600,8 +630,10 @@
     {
         const auto current =
             std::max(table_.current_reports(), settings_.reports_unstretched);
-        return span * static_cast<std::int64_t>(current) /
-               static_cast<std::int64_t>(settings_.reports_unstretched);
+        const auto longer =
+            span * static_cast<std::int64_t>(current) /
+            static_cast<std::int64_t>(settings_.reports_unstretched);
+        return std::min(longer, max_report_term);
     }
 
     void state_report(
@@ -651,11 +683,13 @@
     std::map<std::string, section> sections_;
     std::vector<service_observer> observers_;
     std::vector<std::string> seeds_;
+    std::int64_t stamp_base_ = 0;
     std::uint64_t seed_tries_ = 0;
     time_point next_seed_probe_;
     std::vector<pending_relay> relays_;
     std::optional<time_point> announced_at_;
     std::optional<time_point> last_tick_;
+    bool spreads_ = false;
     time_point relay_window_;
     time_point peers_checked_;
     std::size_t relayed_ = 0;
@@ -769,7 +803,7 @@
     return impl_->table().live(zone);
 }
 
-std::set<availability_zone> membership::zones() const
+const std::set<availability_zone>& membership::zones() const
 {
     return impl_->table().zones();
 }
