Measure demand by the levels that were applied upstream

Cause: levels oscillated with a period of 3 s, since demand was taken from arrivals that upstream nodes had thinned out by stale levels. Change: a call carries the highest level applied to its flow on the way, and each arrival stands for the roots refused with it; queues are bounded by the throughput.

--- a/include/fulmarjunction/admission/endpoint_levels.hpp
+++ b/include/fulmarjunction/admission/endpoint_levels.hpp
@@ -48,8 +48,7 @@
 
     /// A root that was sent has ended: answered, or refused below.
     void ended(
-        const entry_root& root, const below_observation& seen,
-        time_point now);
+        const entry_root& root, const below_observation& seen, time_point now);
 
     /// Returns the level of an endpoint for an account, 0 when nothing is
     /// refused. It expires after a second without an answer.
--- a/include/fulmarjunction/routing/balancer.hpp
+++ b/include/fulmarjunction/routing/balancer.hpp
@@ -48,6 +48,10 @@
     service_name service;
     request_priority priority = 0;
     admission_flow flow;
+    /// Set when an instance has refused this request as overloaded: only an
+    /// instance that has lately answered others is tried then, because the
+    /// same root is shed at every instance of an overloaded service.
+    bool after_overload = false;
 };
 
 /// Result of a choice: an instance, or why there is none.
@@ -55,6 +59,9 @@
 {
     std::optional<instance_name> instance;
     refusal why;
+    /// Level of the chosen instance that was applied to the request's flow,
+    /// to be sent with the call.
+    admission_level applied_level = 0;
 };
 
 /// Chooses instances by this node's own observations.
@@ -84,8 +91,8 @@
         const routing_request& request, const std::set<instance_name>& excluded,
         time_point now);
 
-    /// Returns the level below which every instance of the service refuses
-    /// the flow, as far as is known; 0 when some instance refuses none.
+    /// Returns the level below which the instances of the service refuse the
+    /// flow: the mean of those that have lately answered, 0 where none has.
     admission_level level(
         const service_name& service, const admission_flow& flow,
         time_point now) const;
--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -161,7 +161,8 @@
     }
     queue_.push({request, now});
     fill(now, events);
-    while (queue_.size() > settings_.max_queue)
+    const auto bound = shedding_.queue_bound(limit_.value());
+    while (queue_.size() > bound)
         refuse(queue_.evict()->request.id, refusal_reason::overloaded);
     return events;
 }
@@ -188,8 +189,7 @@
     return events;
 }
 
-void admission_controller::impl::call_started(
-    std::uint64_t id, time_point now)
+void admission_controller::impl::call_started(std::uint64_t id, time_point now)
 {
     const auto found = running_.find(id);
     if (found != running_.end() && found->second.open_calls++ == 0)
@@ -220,7 +220,7 @@
     admission_events events;
     sweep(now, events);
     limit_.tick(running_.size() >= limit_.value(), now);
-    shedding_.tick(limit_.value(), queue_.size(), now);
+    shedding_.tick({limit_.value(), running_.size(), queue_.size()}, now);
     // Idle accounts are looked for rarely; they only hold memory.
     if (now - last_sweep_ > seconds(10)) {
         queue_.forget_idle();
--- a/src/admission/endpoint_levels.cpp
+++ b/src/admission/endpoint_levels.cpp
@@ -9,7 +9,7 @@
 
 /// Part of a new answer in the running means: the instances below have
 /// levels of their own, and an answer tells of one path through them.
-constexpr double smoothing = 0.2;
+constexpr double smoothing = 0.4;
 /// An endpoint of which only some requests call the refusing service is left
 /// to be refused there; refusing all of them would refuse work that can
 /// finish.
--- a/src/admission/shedding.cpp
+++ b/src/admission/shedding.cpp
@@ -1,6 +1,7 @@
 #include "shedding.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace fulmarjunction::detail {
 
@@ -14,12 +15,20 @@
 /// A measurement of n requests has the part n / (n + this) in the running
 /// mean of demand, so that few requests do not move it much.
 constexpr double smoothing_requests = 15;
-/// Upstream nodes may hold a level for a second, and an answer takes time.
-constexpr duration level_memory = milliseconds(700);
-constexpr double greatest_correction = 1.2;
-constexpr double least_correction = 0.5;
-constexpr double raise_step = 1.02;
-constexpr double lower_step = 0.95;
+/// Part of a period in the mean number of arrivals.
+constexpr double arrival_smoothing = 0.1;
+/// Requests that may always wait, whatever the throughput.
+constexpr double least_queue = 8;
+constexpr double greatest_correction = 1.5;
+constexpr double least_correction = 0.7;
+/// Part of an unused share of the limit, and of an excess of the queue wait,
+/// that one step makes up for. Levels take two or three periods to act.
+constexpr double raise_gain = 0.1;
+constexpr double greatest_raise = 1.05;
+constexpr double lower_gain = 0.05;
+constexpr double greatest_lowering = 0.1;
+/// Use of the limit that needs no correction.
+constexpr double full_use = 0.97;
 /// Less than this is left to the queue: a cut on noise refuses needlessly.
 constexpr double least_refused_share = 0.02;
 /// Some roots always pass, or demand could not be measured.
@@ -35,7 +44,7 @@
 } // namespace
 
 shedding::shedding(const admission_settings& settings, time_point start)
-    : settings_(settings), period_start_(start), memory_start_(start)
+    : settings_(settings), period_start_(start)
 {
 }
 
@@ -45,12 +54,16 @@
     auto& flow = flows_of_class[{request.account, request.invested}];
     flow.weight = request.weight > 0 ? request.weight : 1e-3;
     flow.idle_periods = 0;
-    const double rank = rank_in_class(request.root);
-    // Roots below a level of the last second may be refused upstream, so
-    // demand is taken from those above it.
-    if (rank >= flow.sampled_from())
-        ++flow.sampled;
-    return rank >= flow.refused_share;
+    const double position = rank_in_class(request.root);
+    const double refused_upstream = std::clamp(
+        request.applied_level - static_cast<double>(request.rank), 0.0,
+        greatest_refused_share);
+    // A root below the level that was applied is a probe, and stands for none.
+    if (position >= refused_upstream) {
+        ++flow.arrived;
+        flow.stand_for += 1 / (1 - refused_upstream);
+    }
+    return position >= flow.refused_share;
 }
 
 void shedding::started(duration wait)
@@ -75,35 +88,33 @@
     correction_ = 1;
 }
 
-void shedding::tick(std::size_t limit, std::size_t waiting, time_point now)
+void shedding::tick(const load_sample& load, time_point now)
 {
+    use_sum_ += std::min(
+        1.0,
+        static_cast<double>(load.in_flight) / static_cast<double>(load.limit));
+    ++use_count_;
     if (now - period_start_ < control_period)
         return;
-    const bool memory_due = now - memory_start_ >= level_memory;
-    if (memory_due)
-        memory_start_ = now;
-    measure_demand(to_seconds(now - period_start_), memory_due);
-    measure_capacity(limit);
-    correct(waiting);
+    measure_demand(to_seconds(now - period_start_));
+    measure_capacity(load.limit);
+    correct(load);
     set_levels();
     period_start_ = now;
 }
 
-void shedding::measure_demand(double period, bool memory_due)
+void shedding::measure_demand(double period)
 {
     for (auto& flows_of_class : classes_) {
         for (auto& [name, flow] : flows_of_class) {
-            const double part = 1 - flow.sampled_from();
-            const auto sampled = static_cast<double>(flow.sampled);
-            const double weight =
-                std::max(sampled, flow.rate * period * part);
+            const auto arrived = static_cast<double>(flow.arrived);
+            flow.usually_arrived +=
+                arrival_smoothing * (arrived - flow.usually_arrived);
+            const double weight = std::max(arrived, flow.usually_arrived);
             flow.rate += weight / (weight + smoothing_requests) *
-                         (sampled / period / part - flow.rate);
-            flow.sampled = 0;
-            if (memory_due) {
-                flow.earlier_highest = flow.recent_highest;
-                flow.recent_highest = flow.refused_share;
-            }
+                         (flow.stand_for / period - flow.rate);
+            flow.arrived = 0;
+            flow.stand_for = 0;
             ++flow.idle_periods;
         }
         std::erase_if(flows_of_class, [](const auto& item) {
@@ -123,31 +134,51 @@
     capacity_ = held_ == 0 ? 0 : static_cast<double>(limit) / held_;
 }
 
-void shedding::correct(std::size_t waiting)
+void shedding::correct(const load_sample& load)
 {
+    const double use = use_sum_ / static_cast<double>(use_count_);
     const double wait = started_count_ == 0
                             ? 0
                             : wait_sum_ / static_cast<double>(started_count_);
-    const bool stuck = started_count_ == 0 && waiting != 0;
+    const bool stuck = started_count_ == 0 && load.waiting != 0;
     const double target = to_seconds(settings_.target_wait);
-    if (stuck || wait > target)
-        correction_ = std::max(least_correction, correction_ * lower_step);
-    else if (wait < target / 2)
-        correction_ = std::min(greatest_correction, correction_ * raise_step);
+    if (stuck || wait > target) {
+        const double excess = stuck ? 1 : wait / target - 1;
+        correction_ *= 1 - std::min(greatest_lowering, lower_gain * excess);
+    } else if (!refusing_) {
+        correction_ += 0.1 * (1 - correction_);
+    } else if (wait < target / 2 && use < full_use) {
+        const double unused = 1 / std::max(use, 0.1) - 1;
+        correction_ *= std::min(greatest_raise, 1 + raise_gain * unused);
+    }
+    correction_ =
+        std::clamp(correction_, least_correction, greatest_correction);
+    use_sum_ = 0;
+    use_count_ = 0;
     wait_sum_ = 0;
     started_count_ = 0;
 }
 
+// Returns a rate that the flow hardly falls below. What is known of a flow of
+// which few requests are seen is uncertain, and it must not be cut on noise.
+double shedding::demand::cautious_rate() const
+{
+    // About a second's worth of arrivals is in the running mean.
+    const double seen = 10 * usually_arrived;
+    return rate * (1 - 1 / (1 + std::sqrt(seen)));
+}
+
 void shedding::set_levels()
 {
     double left = capacity_ * correction_;
     const bool known = capacity_ > 0;
+    refusing_ = false;
     for (std::size_t rank = importance_classes; rank-- != 0;) {
         std::map<client_account, account_demand> by_account;
         for (auto& [name, flow] : classes_[rank]) {
             auto& account = by_account[name.account];
             account.weight = flow.weight;
-            account.rate += flow.rate;
+            account.rate += flow.cautious_rate();
             (name.invested ? account.invested : account.fresh) = &flow;
         }
         std::vector<account_demand> accounts;
@@ -161,15 +192,14 @@
             for (auto* flow : {account.invested, account.fresh}) {
                 if (flow == nullptr)
                     continue;
-                const double share =
-                    flow->rate <= granted ? 0 : 1 - granted / flow->rate;
-                granted = std::max(0.0, granted - flow->rate);
+                const double rate = flow->cautious_rate();
+                const double share = rate <= granted ? 0 : 1 - granted / rate;
+                granted = std::max(0.0, granted - rate);
                 flow->refused_share =
                     share < least_refused_share
                         ? 0
                         : std::min(share, greatest_refused_share);
-                flow->recent_highest =
-                    std::max(flow->recent_highest, flow->refused_share);
+                refusing_ = refusing_ || flow->refused_share > 0;
             }
         }
     }
@@ -198,6 +228,19 @@
     return capacity - left;
 }
 
+std::size_t shedding::queue_bound(std::size_t limit) const
+{
+    if (held_ == 0)
+        return settings_.max_queue;
+    // A longer queue only holds the places of the callers, who wait for the
+    // answers; half a service time is let in for slow services.
+    const double waits =
+        std::max(2 * to_seconds(settings_.target_wait) / held_, 0.5);
+    const double bound =
+        std::max(least_queue, static_cast<double>(limit) * waits);
+    return std::min(settings_.max_queue, static_cast<std::size_t>(bound));
+}
+
 admission_level shedding::level_in(std::size_t rank, const demand& measured)
 {
     return static_cast<double>(rank) + measured.refused_share;
--- a/src/admission/shedding.hpp
+++ b/src/admission/shedding.hpp
@@ -12,6 +12,14 @@
 
 namespace fulmarjunction::detail {
 
+/// Load of the instance at one time.
+struct load_sample
+{
+    std::size_t limit = 0;
+    std::size_t in_flight = 0;
+    std::size_t waiting = 0;
+};
+
 /// Sets, for each class, client account and kind (invested or new), the share
 /// of roots to refuse, from measured demand and measured capacity. Roots are
 /// uniform in their hash, so the share is also the level inside the class.
@@ -31,12 +39,13 @@
     void finished(duration held);
 
     /// Sets the levels when the control period has passed.
-    /// @param limit present concurrency limit
-    /// @param waiting requests that wait now
-    void tick(std::size_t limit, std::size_t waiting, time_point now);
+    void tick(const load_sample& load, time_point now);
 
     void restart(time_point now);
 
+    /// Returns how many requests may wait at this limit.
+    std::size_t queue_bound(std::size_t limit) const;
+
     admission_level level() const;
     admission_level level(const admission_flow& flow) const;
 
@@ -45,19 +54,16 @@
     struct demand
     {
         double weight = 1;
-        /// Requests of this period from `sampled_from` on.
-        std::size_t sampled = 0;
+        /// Requests of this period that arrived, and how many roots they
+        /// stand for.
+        std::size_t arrived = 0;
+        double stand_for = 0;
         /// Requests per second, with those refused upstream.
         double rate = 0;
+        /// Mean number of requests that arrive in a period.
+        double usually_arrived = 0;
         double refused_share = 0;
-        /// Highest refused share of the present and the last memory period.
-        double recent_highest = 0;
-        double earlier_highest = 0;
-
-        double sampled_from() const
-        {
-            return std::max(recent_highest, earlier_highest);
-        }
+        double cautious_rate() const;
         std::size_t idle_periods = 0;
     };
     using flows = std::map<admission_flow, demand>;
@@ -71,9 +77,9 @@
         demand* fresh = nullptr;
     };
 
-    void measure_demand(double period, bool memory_due);
+    void measure_demand(double period);
     void measure_capacity(std::size_t limit);
-    void correct(std::size_t waiting);
+    void correct(const load_sample& load);
     void set_levels();
     static double
     share_out(std::vector<account_demand>& accounts, double capacity);
@@ -81,17 +87,22 @@
 
     admission_settings settings_;
     time_point period_start_;
-    time_point memory_start_;
     std::array<flows, importance_classes> classes_;
     double held_sum_ = 0;
     std::size_t held_count_ = 0;
     /// Mean time a place is held, in seconds; 0 while unknown.
     double held_ = 0;
+    /// Sum and number of the samples of the part of the limit in use.
+    double use_sum_ = 0;
+    std::size_t use_count_ = 0;
+    /// Whether some flow is refused in part.
+    bool refusing_ = false;
     double wait_sum_ = 0;
     std::size_t started_count_ = 0;
     /// Requests per second that the limit allows; 0 while unknown.
     double capacity_ = 0;
-    /// Factor on the capacity, set by the queue wait.
+    /// Factor on the capacity, set by the queue wait and the use of the
+    /// limit. It makes up for errors in the measured demand.
     double correction_ = 1;
 };
 
--- a/src/bench/world.cpp
+++ b/src/bench/world.cpp
@@ -60,6 +60,9 @@
     std::size_t sender = 0;
     retry_budget budget{0};
     std::set<instance_name> tried;
+    bool after_overload = false;
+    /// Highest level applied to the root on the way here.
+    admission_level applied_level = 0;
     call_done done;
 };
 using call_pointer = std::shared_ptr<call_state>;
@@ -72,6 +75,7 @@
     std::size_t target = 0;
     std::uint32_t handed = 0;
     time_point sent;
+    admission_level applied_level = 0;
     /// Set when the sender no longer waits.
     bool abandoned = false;
     bool ended = false;
@@ -133,7 +137,7 @@
     entry_root seen_root(const root_state& root) const;
 
     void try_call(const call_pointer& call);
-    std::optional<std::size_t> choose(const call_state& call, refusal& why);
+    routing_choice choose(const call_state& call);
     void answered(const attempt_pointer& attempt, call_result result);
     void learn(const attempt_state& attempt, const call_result& result);
 
@@ -303,6 +307,7 @@
         loop_.after(
             hop_delay, [this, root, result] { end_root(root, result); });
     };
+    call->applied_level = levels.level(seen.endpoint, seen.account, now());
     loop_.after(hop_delay, [this, call] { try_call(call); });
 }
 
@@ -320,8 +325,9 @@
 entry_root world::seen_root(const root_state& root) const
 {
     const auto& request = record_.requests[root.request];
-    return {endpoints()[request.endpoint].name,
-            accounts()[request.account].name, root.priority};
+    return {
+        endpoints()[request.endpoint].name, accounts()[request.account].name,
+        root.priority};
 }
 
 void world::end_root(const root_pointer& root, const call_result& result)
@@ -351,54 +357,51 @@
     return {accounts()[request.account].name, call.hop != 0};
 }
 
-std::optional<std::size_t> world::choose(const call_state& call, refusal& why)
+routing_choice world::choose(const call_state& call)
 {
-    if (controlled()) {
-        const auto choice = instances_[call.sender].routes->choose(
-            {services()[call.hop].name, call.root->priority, flow_of(call)},
+    if (controlled())
+        return instances_[call.sender].routes->choose(
+            {services()[call.hop].name, call.root->priority, flow_of(call),
+             call.after_overload},
             call.tried, now());
-        why = choice.why;
-        if (!choice.instance)
-            return std::nullopt;
-        return index_of_.at(*choice.instance);
-    }
-    std::vector<std::size_t> usable;
-    for (std::size_t i = 0; i != instances_.size(); ++i) {
-        const auto& item = instances_[i];
+    std::vector<const instance_model*> usable;
+    for (const auto& item : instances_) {
         if (item.service == call.hop && item.up &&
             call.tried.count(item.name) == 0)
-            usable.push_back(i);
+            usable.push_back(&item);
     }
-    why.reason = refusal_reason::no_instance;
     if (usable.empty())
-        return std::nullopt;
-    return usable[random_() % usable.size()];
+        return {{}, {outcome::not_run, refusal_reason::no_instance, 0}, 0};
+    return {usable[random_() % usable.size()]->name, {}, 0};
 }
 
 void world::try_call(const call_pointer& call)
 {
-    refusal why;
     if (controlled() && now() >= call->root->deadline) {
         call->done(
             {false, outcome::not_run, refusal_reason::deadline_expired,
              call->budget.left(), false});
         return;
     }
-    const auto target = choose(*call, why);
-    if (!target) {
+    const auto choice = choose(*call);
+    if (!choice.instance) {
         call->done(
-            {false, outcome::not_run, why.reason, call->budget.left(), false});
+            {false, outcome::not_run, choice.why.reason, call->budget.left(),
+             false});
         return;
     }
+    const auto target = index_of_.at(*choice.instance);
     auto attempt = std::make_shared<attempt_state>();
     attempt->id = next_attempt_++;
     attempt->call = call;
-    attempt->target = *target;
+    attempt->target = target;
+    attempt->applied_level =
+        std::max(call->applied_level, choice.applied_level);
     attempt->sent = now();
     if (controlled())
         attempt->handed = call->budget.hand_down(call->budget.left());
-    call->tried.insert(instances_[*target].name);
-    instances_[call->sender].routes->sent(instances_[*target].name, now());
+    call->tried.insert(instances_[target].name);
+    instances_[call->sender].routes->sent(instances_[target].name, now());
     loop_.after(hop_delay, [this, attempt] { arrive(attempt); });
     if (controlled())
         return;
@@ -444,6 +447,8 @@
         failed.body_repeatable = true;
         const bool again =
             !controlled() || (!result.refused_below && may_retry(failed));
+        if (result.reason == refusal_reason::overloaded)
+            call->after_overload = true;
         if (again && call->budget.spend()) {
             ++record_.extra_attempts;
             try_call(call);
@@ -492,6 +497,7 @@
     offered.invested = call.hop != 0;
     offered.deadline = root.deadline;
     offered.endpoint = endpoints()[request.endpoint].name;
+    offered.applied_level = attempt->applied_level;
     const auto seen = seen_root(root);
     if (!here.levels->admit(seen, now())) {
         end_attempt(
@@ -623,13 +629,16 @@
     child->root = call.root;
     child->hop = call.hop + 1;
     child->sender = attempt->target;
+    const auto seen = seen_root(*call.root);
+    child->applied_level = std::max(
+        attempt->applied_level, instances_[attempt->target].levels->level(
+                                    seen.endpoint, seen.account, now()));
     child->budget = retry_budget(
         policy_ == policy::per_hop_retries ? extra_attempts : attempt->handed);
     if (controlled())
-        instances_[attempt->target].admission->call_started(
-            attempt->id, now());
-    child->done = [this, attempt, finish, child_service](
-                      const call_result& result) {
+        instances_[attempt->target].admission->call_started(attempt->id, now());
+    child->done = [this, attempt, finish, child_service,
+                   seen](const call_result& result) {
         if (attempt->ended)
             return;
         auto& here = instances_[attempt->target];
@@ -640,9 +649,9 @@
             attempt->level_below = std::max(
                 result.level_below,
                 here.routes->level(child_service, flow, now()));
-            auto seen = result;
-            seen.level_below = attempt->level_below;
-            learn_below(attempt->target, seen_root(*attempt->call->root), seen);
+            auto told = result;
+            told.level_below = attempt->level_below;
+            learn_below(attempt->target, seen, told);
         }
         attempt->unspent = result.unspent;
         if (result.succeeded) {
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -51,6 +51,8 @@
     double latency = 0;
     double success = 1;
     time_point observed;
+    /// End of the time in which its last success counts as recent.
+    time_point answers_until;
     std::size_t connection_failures = 0;
     duration ejection = first_ejection;
     time_point ejected_until;
@@ -283,7 +285,9 @@
     time_point now)
 {
     routing_choice none{
-        std::nullopt, {outcome::not_run, refusal_reason::no_instance, 1000}};
+        std::nullopt,
+        {outcome::not_run, refusal_reason::no_instance, retry_after_ms},
+        0};
     const auto found = services_.find(request.service);
     if (found == services_.end())
         return none;
@@ -304,15 +308,22 @@
 
     options accepting;
     for (const auto& item : usable) {
-        if (request.priority >= item.state->level(request.flow, now))
+        const bool refuses =
+            request.priority < item.state->level(request.flow, now);
+        const bool doubtful =
+            request.after_overload && now >= item.state->answers_until;
+        if (!refuses && !doubtful)
             accepting.push_back(item);
     }
-    if (accepting.empty() && random_() % probe_one_in != 0)
+    if (accepting.empty() &&
+        (request.after_overload || random_() % probe_one_in != 0))
         return {
             std::nullopt,
-            {outcome::not_run, refusal_reason::overloaded, retry_after_ms}};
+            {outcome::not_run, refusal_reason::overloaded, retry_after_ms},
+            0};
     const auto* chosen = pick(accepting.empty() ? usable : accepting, now);
-    return {chosen->name, {}};
+    return {
+        chosen->name, {}, states_.at(chosen->name).level(request.flow, now)};
 }
 
 admission_level balancer::impl::level(
@@ -322,15 +333,19 @@
     const auto found = services_.find(service);
     if (found == services_.end() || found->second.empty())
         return 0;
-    std::optional<admission_level> least;
+    double sum = 0;
+    std::size_t known = 0;
     for (const auto& candidate : found->second) {
         const auto& state = states_.at(candidate.name);
+        const auto level = state.level(flow, now);
         if (now < state.ejected_until)
             continue;
-        const auto level = state.level(flow, now);
-        least = std::min(least.value_or(level), level);
+        if (level == 0 && now >= state.answers_until)
+            continue;
+        sum += level;
+        ++known;
     }
-    return least.value_or(0);
+    return known == 0 ? 0 : sum / static_cast<double>(known);
 }
 
 void balancer::impl::sent(const instance_name& name)
@@ -366,6 +381,7 @@
     state.observed = now;
     if (!good)
         return;
+    state.answers_until = now + level_expiry;
     const double latency = to_seconds(seen.latency);
     state.latency =
         state.latency == 0
