Name the service that a level comes from

Cause: roots refused for one service were counted as demand of the others, and the estimate of a small account's demand was too high because the part of a measurement grew with the measurement. Change: a level from below names its service, and counts only there; the part of a measurement depends on the usual arrivals.

--- a/include/fulmarjunction/admission/admission.hpp
+++ b/include/fulmarjunction/admission/admission.hpp
@@ -53,9 +53,10 @@
     time_point deadline;
     /// Service times are estimated for each endpoint apart.
     endpoint_name endpoint;
-    /// Highest level that the nodes on the way here have applied to this
-    /// request's flow. It tells how many roots like this one were refused
-    /// upstream, so that demand can be measured from those that arrive.
+    /// Highest level of this service for this request's flow that nodes on
+    /// the way here have applied. It tells how many roots like this one were
+    /// refused upstream for the sake of this service, so that demand can be
+    /// measured from those that arrive.
     admission_level applied_level = 0;
 };
 
--- a/include/fulmarjunction/admission/endpoint_levels.hpp
+++ b/include/fulmarjunction/admission/endpoint_levels.hpp
@@ -21,14 +21,23 @@
     request_priority priority = 0;
 };
 
+/// Level of a service for one flow. The service is named so that it can tell
+/// the roots refused for its own sake from others.
+struct service_level
+{
+    service_name service;
+    /// 0 when nothing is refused.
+    admission_level level = 0;
+};
+
 /// What an answer tells of the services below.
 struct below_observation
 {
     /// Whether a call below was refused as overloaded, so that the work done
     /// above it was wasted.
     bool refused = false;
-    /// Highest level that the calls of this root met; 0 when none refuses.
-    admission_level level = 0;
+    /// Highest level that the calls of this root met.
+    service_level level{};
 };
 
 /// Learns for each endpoint and client account below which level roots are
@@ -50,9 +59,9 @@
     void ended(
         const entry_root& root, const below_observation& seen, time_point now);
 
-    /// Returns the level of an endpoint for an account, 0 when nothing is
-    /// refused. It expires after a second without an answer.
-    admission_level level(
+    /// Returns the level of an endpoint for an account, and the service that
+    /// it comes from. It expires after a second without an answer.
+    service_level level(
         const endpoint_name& endpoint, const client_account& account,
         time_point now) const;
 
@@ -66,6 +75,7 @@
         /// Share of the answers that met a level.
         double concerned = 0;
         time_point updated;
+        service_name service;
     };
     using key = std::pair<endpoint_name, client_account>;
 
--- a/src/admission/admission_test.cpp
+++ b/src/admission/admission_test.cpp
@@ -203,7 +203,7 @@
                 continue;
             const bool refused_below = root.priority < 1 + cut;
             const double level = cut > 0 ? 1 + cut : 0;
-            levels.ended(root, {refused_below, level}, now);
+            levels.ended(root, {refused_below, {"s", level}}, now);
             ++(refused_below ? wasted : done);
         }
     };
@@ -211,9 +211,9 @@
     run(5000, 0.75);
     CHECK(done > 5000 * 0.25 * 0.9);
     CHECK(wasted < done / 10);
-    CHECK(levels.level("e", "a", now) > 1.6);
-    CHECK(levels.level("e", "b", now) == 0);
-    CHECK(levels.level("e", "a", now + fj::seconds(1)) == 0);
+    CHECK(levels.level("e", "a", now).level > 1.6);
+    CHECK(levels.level("e", "b", now).level == 0);
+    CHECK(levels.level("e", "a", now + fj::seconds(1)).level == 0);
     // The level must not outlast the overload.
     run(5000, 0);
     run(1000, 0);
--- a/src/admission/endpoint_levels.cpp
+++ b/src/admission/endpoint_levels.cpp
@@ -51,7 +51,7 @@
 void endpoint_levels::ended(
     const entry_root& root, const below_observation& seen, time_point now)
 {
-    auto level = seen.level;
+    auto level = seen.level.level;
     // A refusal without a level still tells that this root is below one.
     if (seen.refused)
         level = std::max(level, root.priority);
@@ -81,17 +81,22 @@
     state.refused_share += part * (share - state.refused_share);
     state.concerned += part * (met - state.concerned);
     state.updated = now;
+    if (!seen.level.service.empty())
+        state.service = seen.level.service;
 }
 
-admission_level endpoint_levels::level(
+service_level endpoint_levels::level(
     const endpoint_name& endpoint, const client_account& account,
     time_point now) const
 {
     const auto found = learned_.find({endpoint, account});
     if (found == learned_.end())
-        return 0;
-    const double share = share_at(found->second, now);
-    return share > 0 ? found->second.rank + share : 0;
+        return {};
+    const auto& state = found->second;
+    const double share = share_at(state, now);
+    if (share <= 0)
+        return {};
+    return {state.service, state.rank + share};
 }
 
 } // namespace fulmarjunction
--- a/src/admission/shedding.cpp
+++ b/src/admission/shedding.cpp
@@ -15,6 +15,8 @@
 /// A measurement of n requests has the part n / (n + this) in the running
 /// mean of demand, so that few requests do not move it much.
 constexpr double smoothing_requests = 15;
+/// Requests above three standard deviations that make a surge.
+constexpr double least_surge = 5;
 /// Part of a period in the mean number of arrivals.
 constexpr double arrival_smoothing = 0.1;
 /// Requests that may always wait, whatever the throughput.
@@ -108,11 +110,17 @@
     for (auto& flows_of_class : classes_) {
         for (auto& [name, flow] : flows_of_class) {
             const auto arrived = static_cast<double>(flow.arrived);
-            flow.usually_arrived +=
-                arrival_smoothing * (arrived - flow.usually_arrived);
-            const double weight = std::max(arrived, flow.usually_arrived);
+            // The part of a measurement must not depend on the measurement
+            // itself, or the mean would be too high; only a clear surge is
+            // taken in at once.
+            const double usual = flow.usually_arrived;
+            const bool surge =
+                arrived > usual + 3 * std::sqrt(usual) + least_surge;
+            const double weight = surge ? arrived : usual;
             flow.rate += weight / (weight + smoothing_requests) *
                          (flow.stand_for / period - flow.rate);
+            flow.usually_arrived +=
+                arrival_smoothing * (arrived - flow.usually_arrived);
             flow.arrived = 0;
             flow.stand_for = 0;
             ++flow.idle_periods;
--- a/src/bench/world.cpp
+++ b/src/bench/world.cpp
@@ -48,10 +48,15 @@
     /// Whether a call below this one was refused.
     bool refused_below = false;
     /// Highest level met below the instance that was called.
-    admission_level level_below = 0;
+    service_level level_below{};
 };
 using call_done = std::function<void(const call_result&)>;
 
+const service_level& higher(const service_level& a, const service_level& b)
+{
+    return b.level > a.level ? b : a;
+}
+
 /// A call with its attempts, at the node that sends it.
 struct call_state
 {
@@ -61,8 +66,8 @@
     retry_budget budget{0};
     std::set<instance_name> tried;
     bool after_overload = false;
-    /// Highest level applied to the root on the way here.
-    admission_level applied_level = 0;
+    /// Level of a service below that was applied on the way here.
+    service_level applied_below;
     call_done done;
 };
 using call_pointer = std::shared_ptr<call_state>;
@@ -75,6 +80,7 @@
     std::size_t target = 0;
     std::uint32_t handed = 0;
     time_point sent;
+    /// Level of the target's service that was applied.
     admission_level applied_level = 0;
     /// Set when the sender no longer waits.
     bool abandoned = false;
@@ -82,7 +88,7 @@
     /// Work in progress at the backend server.
     std::optional<time_point> working_since;
     std::uint32_t unspent = 0;
-    admission_level level_below = 0;
+    service_level level_below{};
 };
 using attempt_pointer = std::shared_ptr<attempt_state>;
 
@@ -307,7 +313,7 @@
         loop_.after(
             hop_delay, [this, root, result] { end_root(root, result); });
     };
-    call->applied_level = levels.level(seen.endpoint, seen.account, now());
+    call->applied_below = levels.level(seen.endpoint, seen.account, now());
     loop_.after(hop_delay, [this, call] { try_call(call); });
 }
 
@@ -316,7 +322,7 @@
 {
     // A refusal before any work, and a lost answer, tell nothing of below.
     const bool told = result.succeeded || result.what == outcome::answered ||
-                      result.level_below > 0;
+                      result.level_below.level > 0;
     if (controlled() && told)
         instances_[node].levels->ended(
             seen, {result.refused_below, result.level_below}, now());
@@ -395,8 +401,10 @@
     attempt->id = next_attempt_++;
     attempt->call = call;
     attempt->target = target;
-    attempt->applied_level =
-        std::max(call->applied_level, choice.applied_level);
+    attempt->applied_level = choice.applied_level;
+    if (call->applied_below.service == services()[call->hop].name)
+        attempt->applied_level =
+            std::max(attempt->applied_level, call->applied_below.level);
     attempt->sent = now();
     if (controlled())
         attempt->handed = call->budget.hand_down(call->budget.left());
@@ -630,9 +638,9 @@
     child->hop = call.hop + 1;
     child->sender = attempt->target;
     const auto seen = seen_root(*call.root);
-    child->applied_level = std::max(
-        attempt->applied_level, instances_[attempt->target].levels->level(
-                                    seen.endpoint, seen.account, now()));
+    child->applied_below = higher(
+        call.applied_below, instances_[attempt->target].levels->level(
+                                seen.endpoint, seen.account, now()));
     child->budget = retry_budget(
         policy_ == policy::per_hop_retries ? extra_attempts : attempt->handed);
     if (controlled())
@@ -646,9 +654,10 @@
             here.admission->call_ended(attempt->id, now());
             auto flow = flow_of(*attempt->call);
             flow.invested = true;
-            attempt->level_below = std::max(
+            attempt->level_below = higher(
                 result.level_below,
-                here.routes->level(child_service, flow, now()));
+                {child_service,
+                 here.routes->level(child_service, flow, now())});
             auto told = result;
             told.level_below = attempt->level_below;
             learn_below(attempt->target, seen, told);
