--- a/src/admission/endpoint_levels.cpp
+++ b/src/admission/endpoint_levels.cpp
@@ -9,7 +9,7 @@
 
 /// Part of a new answer in the running means: the instances below have
 /// levels of their own, and an answer tells of one path through them.
-constexpr double smoothing = 0.2;
+constexpr double smoothing = 0.4;
 /// An endpoint of which only some requests call the refusing service is left
 /// to be refused there; refusing all of them would refuse work that can
 /// finish.
@@ -37,13 +37,15 @@
     return state.refused_share;
 }
 
-bool endpoint_levels::admit(const entry_root& root, time_point now)
+bool endpoint_levels::admit(
+    const entry_root& root, time_point now, double margin)
 {
     const auto found = learned_.find({root.endpoint, root.account});
     if (found == learned_.end())
         return true;
     const double position = root.priority - std::floor(root.priority);
-    if (position >= share_at(found->second, now))
+    const double share = share_at(found->second, now);
+    if (share == 0 || position >= share + margin)
         return true;
     return random_() % probe_one_in == 0;
 }
@@ -51,7 +53,7 @@
 void endpoint_levels::ended(
     const entry_root& root, const below_observation& seen, time_point now)
 {
-    auto level = seen.level;
+    auto level = seen.level.level;
     // A refusal without a level still tells that this root is below one.
     if (seen.refused)
         level = std::max(level, root.priority);
@@ -81,17 +83,22 @@
     state.refused_share += part * (share - state.refused_share);
     state.concerned += part * (met - state.concerned);
     state.updated = now;
+    if (!seen.level.service.empty())
+        state.service = seen.level.service;
 }
 
-admission_level endpoint_levels::level(
+service_level endpoint_levels::level(
     const endpoint_name& endpoint, const client_account& account,
     time_point now) const
 {
     const auto found = learned_.find({endpoint, account});
     if (found == learned_.end())
-        return 0;
-    const double share = share_at(found->second, now);
-    return share > 0 ? found->second.rank + share : 0;
+        return {};
+    const auto& state = found->second;
+    const double share = share_at(state, now);
+    if (share <= 0)
+        return {};
+    return {state.service, state.rank + share};
 }
 
 } // namespace fulmarjunction
