--- a/src/rates/ledger_keeper.cpp
+++ b/src/rates/ledger_keeper.cpp
@@ -269,7 +269,8 @@
 {
     const auto share = share_of(*plan_);
     for (auto& entry : change.ledger.shares) {
-        if (!is_usable(entry, view))
+        // What is to be lowered waits for its loans in draft_lower.
+        if (!is_usable(entry, view) || !fits(entry.amount, share))
             continue;
         const auto target =
             lower_of(share, entry.amount + available(change.ledger));
