--- /dev/null
+++ b/src/unique/unique_contract_test.cpp
@@ -0,0 +1,348 @@
+#include <fulmarjunction/history/history.hpp>
+#include <fulmarjunction/unique/key_issuer.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace fj = fulmarjunction;
+
+using fj::begin_verdict;
+using fj::milliseconds;
+using fj::outcome;
+
+namespace {
+
+const auto secret = fj::derive_key_secret("peer secret");
+constexpr std::size_t node_count = 3;
+
+/// Nodes, callers and a table, driven by one seeded sequence of steps.
+/// Messages wait in a pool and are delivered in any order, late or twice.
+class schedule
+{
+public:
+    explicit schedule(std::uint64_t seed) : random_(seed)
+    {
+        for (std::size_t i = 0; i != node_count; ++i)
+            start_node(i);
+    }
+
+    void run(int steps)
+    {
+        for (int i = 0; i != steps; ++i) {
+            now_ += milliseconds(below(40));
+            if (below(400) == 0)
+                now_ += milliseconds(9'000); // a pause of everything
+            step();
+        }
+    }
+
+    const fj::history& recorded() const { return recorded_; }
+    std::size_t runs() const { return recorded_.runs.size(); }
+    std::size_t not_run() const { return recorded_.not_run.size(); }
+    std::size_t handovers() const { return rows_.size(); }
+
+private:
+    struct process
+    {
+        fj::incarnation life = 0;
+        std::unique_ptr<fj::key_issuer> issuer;
+    };
+    struct running
+    {
+        std::size_t at = 0;
+        fj::incarnation life = 0;
+        std::string key;
+        std::string attempt;
+        bool executed = false;
+    };
+
+    std::size_t below(std::size_t limit)
+    {
+        return std::uniform_int_distribution<std::size_t>(0, limit - 1)(
+            random_);
+    }
+
+    static std::string name(std::size_t index)
+    {
+        return "n" + std::to_string(index);
+    }
+
+    std::int64_t now_us() const
+    {
+        return std::chrono::duration_cast<std::chrono::microseconds>(
+                   now_.time_since_epoch())
+            .count();
+    }
+
+    void start_node(std::size_t index)
+    {
+        auto& made = nodes_[index];
+        ++made.life;
+        fj::issuer_settings settings;
+        settings.key_life = milliseconds(3'000);
+        made.issuer = std::make_unique<fj::key_issuer>(
+            settings, name(index), made.life, secret, now_);
+    }
+
+    void transmit(std::function<void()> message)
+    {
+        if (below(10) != 0) // or it is lost
+            pool_.push_back(std::move(message));
+    }
+
+    /// Sends a message that its sender may repeat.
+    void send(std::function<void()> message)
+    {
+        transmit(message);
+        if (below(8) == 0)
+            pool_.push_back(std::move(message));
+    }
+
+    void step()
+    {
+        switch (below(16)) {
+        case 0: {
+            const auto keys =
+                nodes_[below(node_count)].issuer->issue("acct", 2, now_);
+            if (keys)
+                keys_.insert(
+                    keys_.end(), keys.value().begin(), keys.value().end());
+            break;
+        }
+        case 1:
+        case 2:
+        case 3:
+        case 4:
+            new_attempt();
+            break;
+        case 5:
+        case 6:
+        case 7:
+            end_some_run();
+            break;
+        case 8:
+            nodes_[below(node_count)].issuer->expire(now_);
+            break;
+        case 9:
+            stop_step(below(node_count));
+            break;
+        case 10:
+            if (below(30) == 0)
+                start_node(below(node_count)); // a crash and a restart
+            break;
+        case 11:
+            for (const auto& [key, row] : rows_)
+                give_row(row);
+            break;
+        default:
+            deliver();
+        }
+    }
+
+    void deliver()
+    {
+        if (pool_.empty())
+            return;
+        const auto index = below(pool_.size());
+        auto message = std::move(pool_[index]);
+        pool_[index] = std::move(pool_.back());
+        pool_.pop_back();
+        message();
+    }
+
+    void new_attempt()
+    {
+        if (keys_.empty())
+            return;
+        // Mostly recent keys, so that most have not expired.
+        const auto recent = std::min<std::size_t>(keys_.size(), 6);
+        const auto key = keys_[keys_.size() - 1 - below(recent)];
+        const auto attempt = "a" + std::to_string(++attempts_);
+        const auto entry = below(node_count);
+        // Streams do not duplicate a request. A caller that sends it again
+        // makes another attempt, so each copy has its own name.
+        transmit(
+            [this, key, attempt, entry] { arrive(entry, key, attempt, 0); });
+    }
+
+    void arrive(
+        std::size_t at, const std::string& key, const std::string& attempt,
+        int hops)
+    {
+        auto& here = nodes_[at];
+        const auto decision =
+            here.issuer->begin(key, "acct", "book", "digest", now_);
+        if (decision.verdict == begin_verdict::refused &&
+            decision.why.what == outcome::not_run)
+            recorded_.not_run.push_back({now_us(), key, attempt});
+        if (decision.verdict == begin_verdict::run)
+            running_.push_back({at, here.life, key, attempt, false});
+        if (decision.verdict == begin_verdict::forward && hops < 3)
+            forward(decision, key, attempt, hops);
+    }
+
+    void forward(
+        const fj::begin_decision& decision, const std::string& key,
+        const std::string& attempt, int hops)
+    {
+        auto issuer = decision.issuer;
+        auto life = decision.life;
+        const auto row = rows_.find(fj::handover_row_key(issuer, life));
+        if (row != rows_.end()) {
+            issuer = row->second.successor;
+            life = row->second.successor_life;
+        }
+        for (std::size_t i = 0; i != node_count; ++i) {
+            if (name(i) == issuer && nodes_[i].life == life)
+                transmit([this, i, key, attempt, hops] {
+                    arrive(i, key, attempt, hops + 1);
+                });
+        }
+    }
+
+    /// A run first reaches the backend server, or never does, then ends.
+    void end_some_run()
+    {
+        if (running_.empty())
+            return;
+        const auto index = below(running_.size());
+        auto& run = running_[index];
+        if (!run.executed && below(4) != 0) {
+            run.executed = true;
+            recorded_.runs.push_back({now_us(), run.key, run.attempt});
+            return;
+        }
+        const auto ended = run;
+        running_.erase(running_.begin() + static_cast<std::ptrdiff_t>(index));
+        auto& node = nodes_[ended.at];
+        if (node.life != ended.life)
+            return;
+        fj::run_result end;
+        end.what = ended.executed
+                       ? (below(2) == 0 ? outcome::answered : outcome::unknown)
+                       : outcome::not_run;
+        if (end.what == outcome::answered)
+            end.answer = fj::kept_answer{200, {}, "ok"};
+        if (end.what == outcome::not_run)
+            recorded_.not_run.push_back({now_us(), ended.key, ended.attempt});
+        node.issuer->finish(ended.key, std::move(end), now_);
+    }
+
+    void stop_step(std::size_t index)
+    {
+        auto& node = nodes_[index];
+        auto& issuer = *node.issuer;
+        switch (issuer.state()) {
+        case fj::handover_state::serving:
+            if (below(10) == 0)
+                issuer.begin_stop(now_);
+            break;
+        case fj::handover_state::draining:
+            freeze(index);
+            break;
+        case fj::handover_state::frozen:
+            if (below(6) == 0)
+                freeze(index); // the successor does not answer
+            for (const auto& piece : issuer.pieces(4))
+                send_piece(index, piece);
+            if (issuer.write_handover())
+                send_row(index);
+            break;
+        case fj::handover_state::writing:
+            send_row(index);
+            break;
+        case fj::handover_state::done:
+            if (below(10) == 0)
+                start_node(index);
+            break;
+        }
+    }
+
+    void freeze(std::size_t index)
+    {
+        const auto other = (index + 1 + below(node_count - 1)) % node_count;
+        nodes_[index].issuer->freeze(name(other), nodes_[other].life, now_);
+    }
+
+    void send_piece(std::size_t from, const fj::outgoing_piece& piece)
+    {
+        const auto text = to_text(piece.message);
+        const auto life = nodes_[from].life;
+        for (std::size_t to = 0; to != node_count; ++to) {
+            if (name(to) != piece.to)
+                continue;
+            send([this, from, to, life, text] {
+                const auto read = fj::parse_handover_piece(text).value();
+                const auto receipt =
+                    nodes_[to].issuer->adopt_piece(name(from), read, now_);
+                if (!receipt)
+                    return;
+                send([this, from, to, life, answer = receipt.value()] {
+                    if (nodes_[from].life == life)
+                        nodes_[from].issuer->confirm(name(to), answer);
+                });
+            });
+        }
+    }
+
+    void send_row(std::size_t from)
+    {
+        const auto change = nodes_[from].issuer->write_handover();
+        const auto life = nodes_[from].life;
+        const auto row =
+            fj::parse_handover_row(*change->writes[0].value).value();
+        const auto key = change->writes[0].key;
+        send([this, from, life, row, key] {
+            rows_.emplace(key, row); // the row must be absent
+            if (below(3) != 0 && nodes_[from].life == life)
+                nodes_[from].issuer->handover_written();
+        });
+    }
+
+    void give_row(const fj::handover_row& row)
+    {
+        const auto index = below(node_count);
+        nodes_[index].issuer->apply_handover_row(row, now_);
+    }
+
+    std::mt19937_64 random_;
+    fj::time_point now_{std::chrono::hours(1)};
+    std::map<std::size_t, process> nodes_;
+    std::vector<std::string> keys_;
+    std::vector<std::function<void()>> pool_;
+    std::vector<running> running_;
+    std::map<std::string, fj::handover_row> rows_;
+    std::uint64_t attempts_ = 0;
+    fj::history recorded_;
+};
+
+} // namespace
+
+TEST_CASE("no schedule runs a key twice or lies about it", "[unique][contract]")
+{
+    std::size_t runs = 0;
+    std::size_t not_run = 0;
+    std::size_t handovers = 0;
+    for (std::uint64_t seed = 1; seed <= 400; ++seed) {
+        schedule tried(seed);
+        tried.run(4000);
+        runs += tried.runs();
+        not_run += tried.not_run();
+        handovers += tried.handovers();
+        for (const auto& broken : fj::check_history(tried.recorded()))
+            FAIL_CHECK(
+                "seed " << seed << ": " << broken.check << " "
+                        << broken.detail);
+    }
+    // The schedules reach what they are to try.
+    CHECK(runs > 10'000);
+    CHECK(not_run > 1'000);
+    CHECK(handovers > 400);
+}
