--- a/include/fulmarjunction/serving/backend_gate.hpp
+++ b/include/fulmarjunction/serving/backend_gate.hpp
@@ -69,8 +69,8 @@
     std::size_t in_flight() const { return admission_.in_flight(); }
     std::size_t limit() const { return admission_.limit(); }
 
-    /// Called when the backend server becomes ready or stops being so.
-    std::function<void()> on_change;
+    /// Called at each announcement, and when they have stopped.
+    std::function<void()> on_announcement;
 
 private:
     struct waiter;
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -276,7 +276,7 @@
 {
     gate_ = std::make_shared<backend_gate>(
         executor_, settings_.admission, state_->timers, state_->suspects);
-    gate_->on_change = [this] { report_backend(); };
+    gate_->on_announcement = [this] { report_backend(); };
     dispatcher::parts wiring;
     wiring.self = settings_.name;
     wiring.instances = &state_->routes;
--- a/src/daemon/operators.cpp
+++ b/src/daemon/operators.cpp
@@ -87,6 +87,16 @@
         services[service] = std::move(names);
     }
     document["services"] = std::move(services);
+    json::object accounts;
+    for (const auto& account : state.config.accounts().accounts) {
+        const auto held = state.rates.account_state(account.name, now);
+        accounts[account.name] = json::object{
+            {"claimed_shares", held.claimed_shares},
+            {"wanted_shares", held.wanted_shares},
+            {"tokens", held.level},
+            {"lent", held.lent}};
+    }
+    document["accounts"] = std::move(accounts);
     return json::serialize(document) + "\n";
 }
 
--- a/src/demo/demo_main.cpp
+++ b/src/demo/demo_main.cpp
@@ -9,6 +9,8 @@
 #include <algorithm>
 #include <csignal>
 #include <fstream>
+#include <map>
+#include <thread>
 
 namespace fj = fulmarjunction;
 namespace fixture = fulmarjunction::fixture;
@@ -58,6 +60,22 @@
     return 0;
 }
 
+/// Returns the reasons of refusals with their counts.
+std::string reasons(const std::vector<fixture::caller_answer>& answers)
+{
+    std::map<std::string, int> counts;
+    for (const auto& one : answers) {
+        if (one.status == 0 && one.failure)
+            ++counts[std::string(to_string(one.failure->code))];
+        else if (one.status != 200)
+            ++counts[one.field("reason")];
+    }
+    std::string text;
+    for (const auto& [reason, count] : counts)
+        text += fmt::format(", {} {}", count, reason);
+    return text;
+}
+
 /// The deployment and the keys of its two client accounts.
 class demo
 {
@@ -101,7 +119,10 @@
     const bool ready =
         all_.wait_for_versions() && all_.wait_for_instances("notes", 2) &&
         all_.wait_for_instances("transfers", 1) &&
-        all_.wait_for_rate(large_account, large_key_, "/notes/warm-up");
+        all_.wait_for_shares(large_account) &&
+        all_.wait_for_shares(small_account);
+    // The buckets of both accounts are full after burst / rate seconds.
+    std::this_thread::sleep_for(fj::milliseconds(2100));
     report_.row(
         "deployment", "3 nodes, 2 services, 2 zones",
         applied && ready ? "ready" : "not ready", applied && ready);
@@ -120,7 +141,8 @@
     const int answered = count_status(answers, 200);
     report_.row(
         "calls through every node", "60 lookups",
-        fmt::format("{} answered", answered), answered == 60);
+        fmt::format("{} answered{}", answered, reasons(answers)),
+        answered == 60);
 }
 
 std::size_t demo::runs_with(const std::string& id)
@@ -149,7 +171,7 @@
     const auto runs = runs_with("chain");
     report_.row(
         "call chain of depth 3", "20 calls",
-        fmt::format("{} answered, {} runs", answered, runs),
+        fmt::format("{} answered, {} runs{}", answered, runs, reasons(answers)),
         answered == 20 && runs == 60);
 }
 
@@ -252,6 +274,7 @@
     auto& leaving = all_.node("notes-b");
     int sent = 0;
     int answered = 0;
+    std::string failed;
     const auto begun = fj::clock::now();
     bool is_told = false;
     while (fj::clock::now() - begun < fj::seconds(5)) {
@@ -260,6 +283,8 @@
         const auto answers = all_.outside().send_all(requests);
         sent += static_cast<int>(answers.size());
         answered += count_status(answers, 200);
+        if (failed.empty())
+            failed = reasons(answers);
         if (!is_told && fj::clock::now() - begun > fj::seconds(1)) {
             leaving.daemon->send_signal(SIGTERM);
             is_told = true;
@@ -270,8 +295,8 @@
     report_.row(
         "planned stop under load", fmt::format("{} lookups", sent),
         fmt::format(
-            "{} answered, node {}", answered,
-            is_clean ? "stopped" : "did not stop"),
+            "{} answered, node {}{}", answered,
+            is_clean ? "stopped" : "did not stop", failed),
         answered == sent && is_clean);
 }
 
--- a/src/serving/backend_gate.cpp
+++ b/src/serving/backend_gate.cpp
@@ -92,8 +92,8 @@
     ticks_ = timers.every(admission_tick, [this](time_point now) {
         apply(admission_.tick(now));
         const bool is_ready = backend() != nullptr;
-        if (std::exchange(was_ready_, is_ready) != is_ready && on_change)
-            on_change();
+        if (std::exchange(was_ready_, is_ready) != is_ready && on_announcement)
+            on_announcement();
     });
 }
 
@@ -104,9 +104,6 @@
     const auto now = clock::now();
     const bool is_new = !client_ || backend() == nullptr ||
                         announcement.address != announcement_.address;
-    const bool is_other = announcement.draining != announcement_.draining ||
-                          announcement.service != announcement_.service ||
-                          announcement.slots != announcement_.slots;
     announcement_ = announcement;
     announced_at_ = now;
     if (is_new) {
@@ -120,8 +117,8 @@
         admission_.restarted(announcement.slots, now);
         was_ready_ = true;
     }
-    if ((is_new || is_other) && on_change)
-        on_change();
+    if (on_announcement)
+        on_announcement();
 }
 
 const backend_report* backend_gate::backend() const
--- a/src/serving/context_codec.cpp
+++ b/src/serving/context_codec.cpp
@@ -159,8 +159,11 @@
         add(fields, "fj-level", fmt::format("{:.4f}", *notes.level));
     if (notes.below.refused)
         add(fields, "fj-below-refused", "1");
-    if (notes.below.level > 0)
-        add(fields, "fj-below-level", fmt::format("{:.4f}", notes.below.level));
+    if (notes.below.level.level > 0) {
+        add(fields, "fj-below-level",
+            fmt::format("{:.4f}", notes.below.level.level));
+        add(fields, "fj-below-service", notes.below.level.service);
+    }
     if (notes.load)
         add(fields, "fj-load", fmt::format("{:.3f}", *notes.load));
 }
@@ -186,8 +189,10 @@
     notes.load = taker.number<double>("fj-load", 0, 1);
     notes.below.refused =
         taker.number<std::uint32_t>("fj-below-refused", 0, 1) == 1u;
-    notes.below.level =
+    notes.below.level.level =
         taker.number<double>("fj-below-level", 0, highest_level).value_or(0);
+    notes.below.level.service =
+        taker.text("fj-below-service").value_or(std::string());
     if (!taker.bad().empty())
         return fail(errc::malformed, "read answer notes", {}, taker.bad());
     return notes;
--- a/src/serving/egress.cpp
+++ b/src/serving/egress.cpp
@@ -143,7 +143,11 @@
         !answer.response && answer.why.reason == refusal_reason::overloaded;
     auto& below = parent->below;
     below.refused = below.refused || is_overloaded || answer.below.refused;
-    below.level = std::max({below.level, answer.level, answer.below.level});
+    const service_level here{definition.service, answer.level};
+    for (const auto& met : {here, answer.below.level}) {
+        if (met.level > below.level.level)
+            below.level = met;
+    }
     counters_.count(answer.failure());
     if (!answer.response)
         co_return caller_refusal(answer.why, id);
