--- a/src/http/http_test.cpp
+++ b/src/http/http_test.cpp
@@ -5,21 +5,15 @@
 #include <http/head.hpp>
 
 #include <boost/asio/bind_cancellation_slot.hpp>
-#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/ssl/stream.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 
-#include <catch2/catch.hpp>
+#include <test_main/transport_test_support.hpp>
 
-#include <openssl/evp.h>
-#include <openssl/pem.h>
-#include <openssl/x509.h>
+#include <catch2/catch.hpp>
 
 #include <fstream>
 #include <optional>
@@ -27,63 +21,10 @@
 #include <string_view>
 #include <vector>
 
-namespace fj = fulmarjunction;
-namespace asio = boost::asio;
-using asio::use_awaitable;
-using asio::ip::tcp;
+using namespace fulmarjunction::test;
 
 namespace {
 
-const tcp::endpoint any_port(asio::ip::address_v4::loopback(), 0);
-
-/// Ends a test that hangs; no test's result depends on it.
-constexpr std::chrono::seconds hang_limit{120};
-
-asio::io_context& io()
-{
-    static asio::io_context context;
-    return context;
-}
-
-/// Runs the context until `done` holds.
-template <class Predicate>
-void run_until(Predicate done)
-{
-    const auto limit = fj::clock::now() + hang_limit;
-    while (!done()) {
-        if (fj::clock::now() >= limit)
-            throw std::runtime_error("the test hangs");
-        io().restart();
-        io().run_one_for(std::chrono::milliseconds(100));
-    }
-}
-
-/// Runs a coroutine to its end and returns its value.
-template <class T>
-T run(fj::awaitable<T> work)
-{
-    std::optional<T> value;
-    std::exception_ptr thrown;
-    bool done = false;
-    asio::co_spawn(
-        io(),
-        [&]() -> fj::awaitable<void> { value = co_await std::move(work); },
-        [&](std::exception_ptr failure) {
-            thrown = failure;
-            done = true;
-        });
-    run_until([&] { return done; });
-    if (thrown)
-        std::rethrow_exception(thrown);
-    return std::move(*value);
-}
-
-/// Returns a deadline that no test waits for.
-fj::time_point far_deadline()
-{
-    return fj::clock::now() + hang_limit;
-}
-
 /// Limits that a busy machine does not reach.
 fj::http_limits patient_limits()
 {
@@ -94,24 +35,6 @@
     return limits;
 }
 
-fj::streamed_response text_response(int status, std::string text)
-{
-    const auto size = text.size();
-    return {status, {}, size, fj::string_body(std::move(text))};
-}
-
-fj::streamed_request get(std::string target)
-{
-    return {"GET", std::move(target), {}, 0, fj::empty_body()};
-}
-
-fj::streamed_request
-post(std::string text, std::optional<std::uint64_t> content_length)
-{
-    return {
-        "POST", "/echo", {}, content_length, fj::string_body(std::move(text))};
-}
-
 /// Reads the request's body and describes the request in the response.
 fj::awaitable<fj::streamed_response> describe(fj::http_request request)
 {
@@ -148,23 +71,6 @@
     tcp::endpoint address;
 };
 
-/// Sends `bytes` and returns all that comes back until the end.
-fj::awaitable<std::string>
-raw_exchange(tcp::endpoint address, std::string bytes, bool end_output = false)
-{
-    tcp::socket socket(io());
-    co_await socket.async_connect(address, use_awaitable);
-    co_await asio::async_write(socket, asio::buffer(bytes), use_awaitable);
-    if (end_output)
-        socket.shutdown(tcp::socket::shutdown_send);
-    std::string answer;
-    boost::system::error_code ignored;
-    co_await asio::async_read(
-        socket, asio::dynamic_buffer(answer),
-        asio::redirect_error(use_awaitable, ignored));
-    co_return answer;
-}
-
 /// Plays a server: accepts connections and, for each, waits for a whole
 /// request head, sends fixed bytes and closes if told to.
 struct scripted_server
@@ -267,24 +173,6 @@
     };
 }
 
-std::shared_ptr<asio::ssl::context> make_tls_context()
-{
-    EVP_PKEY* key = EVP_EC_gen("P-256");
-    X509* certificate = X509_new();
-    ASN1_INTEGER_set(X509_get_serialNumber(certificate), 1);
-    X509_gmtime_adj(X509_getm_notBefore(certificate), -60);
-    X509_gmtime_adj(X509_getm_notAfter(certificate), 3600);
-    X509_set_pubkey(certificate, key);
-    X509_sign(certificate, key, EVP_sha256());
-    auto context =
-        std::make_shared<asio::ssl::context>(asio::ssl::context::tls_server);
-    SSL_CTX_use_certificate(context->native_handle(), certificate);
-    SSL_CTX_use_PrivateKey(context->native_handle(), key);
-    X509_free(certificate);
-    EVP_PKEY_free(key);
-    return context;
-}
-
 } // namespace
 
 TEST_CASE("heads that two parsers could frame differently are refused")
--- /dev/null
+++ b/src/test_main/transport_test_support.hpp
@@ -0,0 +1,152 @@
+/// @file
+/// What the tests of the transport slices share: one context that they run by
+/// hand, and messages and connections to try.
+#pragma once
+
+#include <fulmarjunction/core/message.hpp>
+#include <fulmarjunction/core/time.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/ssl/context.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <openssl/evp.h>
+#include <openssl/x509.h>
+
+#include <memory>
+#include <optional>
+#include <stdexcept>
+#include <string>
+
+namespace fulmarjunction::test {
+
+namespace fj = fulmarjunction;
+namespace asio = boost::asio;
+using asio::use_awaitable;
+using asio::ip::tcp;
+
+inline const tcp::endpoint any_port(asio::ip::address_v4::loopback(), 0);
+
+/// Ends a test that hangs; no test's result depends on it.
+constexpr std::chrono::seconds hang_limit{120};
+
+/// Returns the context of all tests.
+inline asio::io_context& io()
+{
+    static asio::io_context context;
+    return context;
+}
+
+/// Runs the context until `done` holds.
+template <class Predicate>
+void run_until(Predicate done)
+{
+    const auto limit = fj::clock::now() + hang_limit;
+    while (!done()) {
+        if (fj::clock::now() >= limit)
+            throw std::runtime_error("the test hangs");
+        io().restart();
+        io().run_one_for(std::chrono::milliseconds(100));
+    }
+}
+
+/// Keeps the value of a coroutine.
+template <class T>
+fj::awaitable<void>
+keep(fj::awaitable<T> work, std::shared_ptr<std::optional<T>> value)
+{
+    value->emplace(co_await std::move(work));
+}
+
+/// Starts a coroutine whose value can be awaited by `run_until`.
+template <class T>
+std::shared_ptr<std::optional<T>> start(fj::awaitable<T> work)
+{
+    auto value = std::make_shared<std::optional<T>>();
+    asio::co_spawn(
+        io(), keep(std::move(work), value),
+        [](const std::exception_ptr& thrown) {
+            if (thrown)
+                std::rethrow_exception(thrown);
+        });
+    return value;
+}
+
+/// Runs a coroutine to its end and returns its value.
+template <class T>
+T run(fj::awaitable<T> work)
+{
+    const auto value = start(std::move(work));
+    run_until([&] { return value->has_value(); });
+    return std::move(**value);
+}
+
+/// Returns a deadline that no test waits for.
+inline fj::time_point far_deadline()
+{
+    return fj::clock::now() + hang_limit;
+}
+
+/// Returns a response with a body of known length.
+inline fj::streamed_response text_response(int status, std::string text)
+{
+    const auto size = text.size();
+    return {status, {}, size, fj::string_body(std::move(text))};
+}
+
+/// Returns a request without a body.
+inline fj::streamed_request get(std::string target)
+{
+    return {"GET", std::move(target), {}, 0, fj::empty_body()};
+}
+
+/// Returns a request with a body, of known length or not.
+inline fj::streamed_request
+post(std::string text, std::optional<std::uint64_t> content_length)
+{
+    return {
+        "POST", "/echo", {}, content_length, fj::string_body(std::move(text))};
+}
+
+/// Sends `bytes` and returns all that comes back until the end.
+inline fj::awaitable<std::string>
+raw_exchange(tcp::endpoint address, std::string bytes, bool end_output = false)
+{
+    tcp::socket socket(io());
+    co_await socket.async_connect(address, use_awaitable);
+    co_await asio::async_write(socket, asio::buffer(bytes), use_awaitable);
+    if (end_output)
+        socket.shutdown(tcp::socket::shutdown_send);
+    std::string answer;
+    boost::system::error_code ignored;
+    co_await asio::async_read(
+        socket, asio::dynamic_buffer(answer),
+        asio::redirect_error(use_awaitable, ignored));
+    co_return answer;
+}
+
+/// Returns a TLS context of a server with a fresh self-signed certificate.
+inline std::shared_ptr<asio::ssl::context> make_tls_context()
+{
+    EVP_PKEY* key = EVP_EC_gen("P-256");
+    X509* certificate = X509_new();
+    ASN1_INTEGER_set(X509_get_serialNumber(certificate), 1);
+    X509_gmtime_adj(X509_getm_notBefore(certificate), -60);
+    X509_gmtime_adj(X509_getm_notAfter(certificate), 3600);
+    X509_set_pubkey(certificate, key);
+    X509_sign(certificate, key, EVP_sha256());
+    auto context =
+        std::make_shared<asio::ssl::context>(asio::ssl::context::tls_server);
+    SSL_CTX_use_certificate(context->native_handle(), certificate);
+    SSL_CTX_use_PrivateKey(context->native_handle(), key);
+    X509_free(certificate);
+    EVP_PKEY_free(key);
+    return context;
+}
+
+} // namespace fulmarjunction::test
