Reset a connection whose response body throws; follow the linter

Cause: a response body that throws ended in an ordinary close, which an HTTP/1.0 caller takes for the end of the body. A literal with a NUL in http_test was given a length beyond its end. Change: the connection is reset; the literal carries its own length.

--- a/src/http/http_test.cpp
+++ b/src/http/http_test.cpp
@@ -22,6 +22,7 @@
 #include <vector>
 
 using namespace fulmarjunction::test;
+using namespace std::string_literals;
 
 namespace {
 
@@ -158,7 +159,7 @@
 }
 
 /// Yields `left` bytes.
-fj::body_reader long_body(std::shared_ptr<std::uint64_t> left)
+fj::body_reader long_body(const std::shared_ptr<std::uint64_t>& left)
 {
     const auto read = [](std::shared_ptr<std::uint64_t> rest,
                          asio::mutable_buffer output)
@@ -178,27 +179,30 @@
 TEST_CASE("heads that two parsers could frame differently are refused")
 {
     const std::vector<std::string> shapes = {
-        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n"
-        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
-        "Content-Length: 5\r\n\r\n0\r\n\r\n",
-        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n"
-        "Content-Length: 5\r\n\r\nhello",
-        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n"
-        "Content-Length: 6\r\n\r\nhello",
+        std::string("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n"
+                    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+        std::string(
+            "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+            "Content-Length: 5\r\n\r\n0\r\n\r\n"),
+        std::string("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n"
+                    "Content-Length: 5\r\n\r\nhello"),
+        std::string("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n"
+                    "Content-Length: 6\r\n\r\nhello"),
         "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5, 5\r\n\r\nhello",
         "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: +5\r\n\r\nhello",
         "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0x5\r\n\r\nhello",
         "POST / HTTP/1.1\r\nHost: a\r\nContent-Length:\r\n\r\n",
-        "POST / HTTP/1.1\r\nHost: a\r\n"
-        "Content-Length: 99999999999999999999\r\n\r\n",
-        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
-        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        std::string("POST / HTTP/1.1\r\nHost: a\r\n"
+                    "Content-Length: 99999999999999999999\r\n\r\n"),
+        std::string(
+            "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
         "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: xchunked\r\n\r\n",
-        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, "
-        "chunked\r\n\r\n",
-        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked, identity"
-        "\r\n\r\n0\r\n\r\n",
+        std::string("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, "
+                    "chunked\r\n\r\n"),
+        std::string(
+            "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked, identity"
+            "\r\n\r\n0\r\n\r\n"),
         "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding:\r\n\r\n",
         "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
         "GET / HTTP/1.1\r\nHost: a\r\nX: b\r\n folded\r\n\r\n",
@@ -209,7 +213,7 @@
         "GET / HTTP/1.1\nHost: a\n\n",
         "GET / HTTP/1.1\r\nHost: a\r\nX: b\rContent-Length: 5\r\n\r\n",
         "GET / HTTP/1.1\r\nHost: a\r\nX: b\r\r\n\r\n",
-        std::string("GET / HTTP/1.1\r\nHost: a\r\nX: \0\r\n\r\n", 35),
+        "GET / HTTP/1.1\r\nHost: a\r\nX: \0\r\n\r\n"s,
         "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
         "GET / HTTP/1.1\r\n\r\n",
         "GET / HTTP/1.1\r\nHost: a\r\n: empty\r\n\r\n",
@@ -414,18 +418,15 @@
         io().get_executor(), target.address, patient_limits(), hang_limit);
     tcp::socket idle(io());
     idle.connect(target.address);
-    std::string answer;
-    asio::co_spawn(
-        io(), fetch(client, get("/"), far_deadline()),
-        [&](std::exception_ptr, std::string text) { answer = text; });
+    const auto answer = start(fetch(client, get("/"), far_deadline()));
     run_until(
         [&] { return target.calls == 1 && target.server.connections() == 2; });
     target.server.begin_shutdown();
     idle.close();
     run_until([&] { return target.server.connections() == 1; });
     gate.cancel();
-    run_until([&] { return !answer.empty(); });
-    CHECK(answer == "200 whole");
+    run_until([&] { return answer->has_value(); });
+    CHECK(**answer == "200 whole");
     run_until([&] { return target.server.connections() == 0; });
     CHECK(fetch_now(client, get("/")) == "connection_failed");
 }
@@ -549,10 +550,7 @@
     CHECK(first == "timeout");
     run_until([&] { return !server.sockets.empty(); });
     const auto before = server.sockets.size();
-    std::string second;
-    asio::co_spawn(
-        io(), fetch(client, get("/next"), far_deadline()),
-        [&](std::exception_ptr, std::string text) { second = text; });
+    const auto second = start(fetch(client, get("/next"), far_deadline()));
     run_until([&] { return server.sockets.size() == before + 1; });
     boost::system::error_code ignored;
     const auto late = asio::buffer(
@@ -561,8 +559,8 @@
         std::string_view("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnext"));
     asio::write(*server.sockets[before - 1], late, ignored);
     asio::write(*server.sockets[before], next, ignored);
-    run_until([&] { return !second.empty(); });
-    CHECK(second == "200 next");
+    run_until([&] { return second->has_value(); });
+    CHECK(**second == "200 next");
 }
 
 TEST_CASE("a connection with more input than the response is not reused")
@@ -620,8 +618,9 @@
     asio::co_spawn(
         io(), fetch(waiting, get("/"), far_deadline()),
         asio::bind_cancellation_slot(
-            stop.slot(),
-            [&](std::exception_ptr, std::string) { done = true; }));
+            stop.slot(), [&](const std::exception_ptr&, const std::string&) {
+                done = true;
+            }));
     run_until([&] { return silent.accepted == 1; });
     stop.emit(asio::cancellation_type::terminal);
     run_until([&] { return done && silent.ended == 1; });
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -196,7 +196,10 @@
         self->sessions_.insert(current);
         asio::co_spawn(
             self->executor_, serve(self, current),
-            [self, current](const std::exception_ptr&) {
+            [self, current](const std::exception_ptr& thrown) {
+                // A body that throws must not look like one that ended.
+                if (thrown)
+                    current->link->abort();
                 current->link->close();
                 self->sessions_.erase(current);
             });
@@ -402,7 +405,7 @@
     asio::any_io_executor executor, http_limits limits, http_handler handler,
     http_refusal_handler refuse, std::shared_ptr<asio::ssl::context> tls)
     : impl_(std::make_shared<impl>(
-          executor, limits, std::move(handler), std::move(refuse),
+          std::move(executor), limits, std::move(handler), std::move(refuse),
           std::move(tls)))
 {
 }
--- a/src/peer/server.cpp
+++ b/src/peer/server.cpp
@@ -265,7 +265,7 @@
     asio::any_io_executor executor, peer_identity identity, peer_limits limits,
     peer_handler handler, std::shared_ptr<asio::ssl::context> tls)
     : impl_(std::make_shared<impl>(
-          executor, std::move(identity), limits, std::move(handler),
+          std::move(executor), std::move(identity), limits, std::move(handler),
           std::move(tls)))
 {
 }
