Test that a response body that throws ends in a reset

Cause: the case was not covered. Change: a test with an HTTP/1.0 caller; the servers keep their executor by move, as the linter asks.

--- a/src/http/http_test.cpp
+++ b/src/http/http_test.cpp
@@ -651,6 +651,34 @@
     CHECK(seen == "truncated");
 }
 
+TEST_CASE("a response body that throws ends in a reset")
+{
+    test_server target(
+        [](fj::http_request) -> fj::awaitable<fj::streamed_response> {
+            const auto broken = [](asio::mutable_buffer)
+                -> fj::awaitable<fj::result<std::size_t>> {
+                throw std::runtime_error("fault");
+                co_return std::size_t{0};
+            };
+            co_return fj::streamed_response{200, {}, std::nullopt, broken};
+        });
+    // An HTTP/1.0 caller takes an ordinary close for the end of the body.
+    const auto talk =
+        [](tcp::endpoint address) -> fj::awaitable<boost::system::error_code> {
+        tcp::socket socket(io());
+        co_await socket.async_connect(address, use_awaitable);
+        const std::string text = "GET / HTTP/1.0\r\n\r\n";
+        co_await asio::async_write(socket, asio::buffer(text), use_awaitable);
+        std::string answer;
+        boost::system::error_code failure;
+        co_await asio::async_read(
+            socket, asio::dynamic_buffer(answer),
+            asio::redirect_error(use_awaitable, failure));
+        co_return failure;
+    };
+    CHECK(run(talk(target.address)) == asio::error::connection_reset);
+}
+
 TEST_CASE("nothing listening is connection_failed, bad heads are not sent")
 {
     tcp::acceptor unused(io(), any_port);
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -81,10 +81,10 @@
 {
 public:
     impl(
-        const asio::any_io_executor& executor, http_limits limits,
+        asio::any_io_executor executor, http_limits limits,
         http_handler handler, http_refusal_handler refuse,
         std::shared_ptr<asio::ssl::context> tls)
-        : executor_(executor), acceptor_(executor), limits_(limits),
+        : executor_(std::move(executor)), acceptor_(executor_), limits_(limits),
           handler_(std::move(handler)), refuse_(std::move(refuse)),
           tls_(std::move(tls))
     {
--- a/src/peer/server.cpp
+++ b/src/peer/server.cpp
@@ -71,10 +71,10 @@
 {
 public:
     impl(
-        const asio::any_io_executor& executor, peer_identity identity,
+        asio::any_io_executor executor, peer_identity identity,
         peer_limits limits, peer_handler handler,
         std::shared_ptr<asio::ssl::context> tls)
-        : executor_(executor), acceptor_(executor),
+        : executor_(std::move(executor)), acceptor_(executor_),
           identity_(std::move(identity)), limits_(limits),
           handler_(std::move(handler)), tls_(std::move(tls))
     {
