--- a/src/http/http_test.cpp
+++ b/src/http/http_test.cpp
@@ -5,21 +5,15 @@
 #include <http/head.hpp>
 
 #include <boost/asio/bind_cancellation_slot.hpp>
-#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/ssl/stream.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 
-#include <catch2/catch.hpp>
+#include <test_main/transport_test_support.hpp>
 
-#include <openssl/evp.h>
-#include <openssl/pem.h>
-#include <openssl/x509.h>
+#include <catch2/catch.hpp>
 
 #include <fstream>
 #include <optional>
@@ -27,63 +21,11 @@
 #include <string_view>
 #include <vector>
 
-namespace fj = fulmarjunction;
-namespace asio = boost::asio;
-using asio::use_awaitable;
-using asio::ip::tcp;
+using namespace fulmarjunction::test;
+using namespace std::string_literals;
 
 namespace {
 
-const tcp::endpoint any_port(asio::ip::address_v4::loopback(), 0);
-
-/// Ends a test that hangs; no test's result depends on it.
-constexpr std::chrono::seconds hang_limit{120};
-
-asio::io_context& io()
-{
-    static asio::io_context context;
-    return context;
-}
-
-/// Runs the context until `done` holds.
-template <class Predicate>
-void run_until(Predicate done)
-{
-    const auto limit = fj::clock::now() + hang_limit;
-    while (!done()) {
-        if (fj::clock::now() >= limit)
-            throw std::runtime_error("the test hangs");
-        io().restart();
-        io().run_one_for(std::chrono::milliseconds(100));
-    }
-}
-
-/// Runs a coroutine to its end and returns its value.
-template <class T>
-T run(fj::awaitable<T> work)
-{
-    std::optional<T> value;
-    std::exception_ptr thrown;
-    bool done = false;
-    asio::co_spawn(
-        io(),
-        [&]() -> fj::awaitable<void> { value = co_await std::move(work); },
-        [&](std::exception_ptr failure) {
-            thrown = failure;
-            done = true;
-        });
-    run_until([&] { return done; });
-    if (thrown)
-        std::rethrow_exception(thrown);
-    return std::move(*value);
-}
-
-/// Returns a deadline that no test waits for.
-fj::time_point far_deadline()
-{
-    return fj::clock::now() + hang_limit;
-}
-
 /// Limits that a busy machine does not reach.
 fj::http_limits patient_limits()
 {
@@ -94,24 +36,6 @@
     return limits;
 }
 
-fj::streamed_response text_response(int status, std::string text)
-{
-    const auto size = text.size();
-    return {status, {}, size, fj::string_body(std::move(text))};
-}
-
-fj::streamed_request get(std::string target)
-{
-    return {"GET", std::move(target), {}, 0, fj::empty_body()};
-}
-
-fj::streamed_request
-post(std::string text, std::optional<std::uint64_t> content_length)
-{
-    return {
-        "POST", "/echo", {}, content_length, fj::string_body(std::move(text))};
-}
-
 /// Reads the request's body and describes the request in the response.
 fj::awaitable<fj::streamed_response> describe(fj::http_request request)
 {
@@ -148,23 +72,6 @@
     tcp::endpoint address;
 };
 
-/// Sends `bytes` and returns all that comes back until the end.
-fj::awaitable<std::string>
-raw_exchange(tcp::endpoint address, std::string bytes, bool end_output = false)
-{
-    tcp::socket socket(io());
-    co_await socket.async_connect(address, use_awaitable);
-    co_await asio::async_write(socket, asio::buffer(bytes), use_awaitable);
-    if (end_output)
-        socket.shutdown(tcp::socket::shutdown_send);
-    std::string answer;
-    boost::system::error_code ignored;
-    co_await asio::async_read(
-        socket, asio::dynamic_buffer(answer),
-        asio::redirect_error(use_awaitable, ignored));
-    co_return answer;
-}
-
 /// Plays a server: accepts connections and, for each, waits for a whole
 /// request head, sends fixed bytes and closes if told to.
 struct scripted_server
@@ -252,7 +159,7 @@
 }
 
 /// Yields `left` bytes.
-fj::body_reader long_body(std::shared_ptr<std::uint64_t> left)
+fj::body_reader long_body(const std::shared_ptr<std::uint64_t>& left)
 {
     const auto read = [](std::shared_ptr<std::uint64_t> rest,
                          asio::mutable_buffer output)
@@ -267,50 +174,35 @@
     };
 }
 
-std::shared_ptr<asio::ssl::context> make_tls_context()
-{
-    EVP_PKEY* key = EVP_EC_gen("P-256");
-    X509* certificate = X509_new();
-    ASN1_INTEGER_set(X509_get_serialNumber(certificate), 1);
-    X509_gmtime_adj(X509_getm_notBefore(certificate), -60);
-    X509_gmtime_adj(X509_getm_notAfter(certificate), 3600);
-    X509_set_pubkey(certificate, key);
-    X509_sign(certificate, key, EVP_sha256());
-    auto context =
-        std::make_shared<asio::ssl::context>(asio::ssl::context::tls_server);
-    SSL_CTX_use_certificate(context->native_handle(), certificate);
-    SSL_CTX_use_PrivateKey(context->native_handle(), key);
-    X509_free(certificate);
-    EVP_PKEY_free(key);
-    return context;
-}
-
 } // namespace
 
 TEST_CASE("heads that two parsers could frame differently are refused")
 {
     const std::vector<std::string> shapes = {
-        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n"
-        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
-        "Content-Length: 5\r\n\r\n0\r\n\r\n",
-        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n"
-        "Content-Length: 5\r\n\r\nhello",
-        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n"
-        "Content-Length: 6\r\n\r\nhello",
+        std::string("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n"
+                    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+        std::string(
+            "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+            "Content-Length: 5\r\n\r\n0\r\n\r\n"),
+        std::string("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n"
+                    "Content-Length: 5\r\n\r\nhello"),
+        std::string("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n"
+                    "Content-Length: 6\r\n\r\nhello"),
         "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5, 5\r\n\r\nhello",
         "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: +5\r\n\r\nhello",
         "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0x5\r\n\r\nhello",
         "POST / HTTP/1.1\r\nHost: a\r\nContent-Length:\r\n\r\n",
-        "POST / HTTP/1.1\r\nHost: a\r\n"
-        "Content-Length: 99999999999999999999\r\n\r\n",
-        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
-        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        std::string("POST / HTTP/1.1\r\nHost: a\r\n"
+                    "Content-Length: 99999999999999999999\r\n\r\n"),
+        std::string(
+            "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
         "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: xchunked\r\n\r\n",
-        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, "
-        "chunked\r\n\r\n",
-        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked, identity"
-        "\r\n\r\n0\r\n\r\n",
+        std::string("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, "
+                    "chunked\r\n\r\n"),
+        std::string(
+            "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked, identity"
+            "\r\n\r\n0\r\n\r\n"),
         "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding:\r\n\r\n",
         "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
         "GET / HTTP/1.1\r\nHost: a\r\nX: b\r\n folded\r\n\r\n",
@@ -321,7 +213,7 @@
         "GET / HTTP/1.1\nHost: a\n\n",
         "GET / HTTP/1.1\r\nHost: a\r\nX: b\rContent-Length: 5\r\n\r\n",
         "GET / HTTP/1.1\r\nHost: a\r\nX: b\r\r\n\r\n",
-        std::string("GET / HTTP/1.1\r\nHost: a\r\nX: \0\r\n\r\n", 35),
+        "GET / HTTP/1.1\r\nHost: a\r\nX: \0\r\n\r\n"s,
         "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
         "GET / HTTP/1.1\r\n\r\n",
         "GET / HTTP/1.1\r\nHost: a\r\n: empty\r\n\r\n",
@@ -526,18 +418,15 @@
         io().get_executor(), target.address, patient_limits(), hang_limit);
     tcp::socket idle(io());
     idle.connect(target.address);
-    std::string answer;
-    asio::co_spawn(
-        io(), fetch(client, get("/"), far_deadline()),
-        [&](std::exception_ptr, std::string text) { answer = text; });
+    const auto answer = start(fetch(client, get("/"), far_deadline()));
     run_until(
         [&] { return target.calls == 1 && target.server.connections() == 2; });
     target.server.begin_shutdown();
     idle.close();
     run_until([&] { return target.server.connections() == 1; });
     gate.cancel();
-    run_until([&] { return !answer.empty(); });
-    CHECK(answer == "200 whole");
+    run_until([&] { return answer->has_value(); });
+    CHECK(**answer == "200 whole");
     run_until([&] { return target.server.connections() == 0; });
     CHECK(fetch_now(client, get("/")) == "connection_failed");
 }
@@ -661,10 +550,7 @@
     CHECK(first == "timeout");
     run_until([&] { return !server.sockets.empty(); });
     const auto before = server.sockets.size();
-    std::string second;
-    asio::co_spawn(
-        io(), fetch(client, get("/next"), far_deadline()),
-        [&](std::exception_ptr, std::string text) { second = text; });
+    const auto second = start(fetch(client, get("/next"), far_deadline()));
     run_until([&] { return server.sockets.size() == before + 1; });
     boost::system::error_code ignored;
     const auto late = asio::buffer(
@@ -673,8 +559,8 @@
         std::string_view("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnext"));
     asio::write(*server.sockets[before - 1], late, ignored);
     asio::write(*server.sockets[before], next, ignored);
-    run_until([&] { return !second.empty(); });
-    CHECK(second == "200 next");
+    run_until([&] { return second->has_value(); });
+    CHECK(**second == "200 next");
 }
 
 TEST_CASE("a connection with more input than the response is not reused")
@@ -732,8 +618,9 @@
     asio::co_spawn(
         io(), fetch(waiting, get("/"), far_deadline()),
         asio::bind_cancellation_slot(
-            stop.slot(),
-            [&](std::exception_ptr, std::string) { done = true; }));
+            stop.slot(), [&](const std::exception_ptr&, const std::string&) {
+                done = true;
+            }));
     run_until([&] { return silent.accepted == 1; });
     stop.emit(asio::cancellation_type::terminal);
     run_until([&] { return done && silent.ended == 1; });
@@ -764,6 +651,34 @@
     CHECK(seen == "truncated");
 }
 
+TEST_CASE("a response body that throws ends in a reset")
+{
+    test_server target(
+        [](fj::http_request) -> fj::awaitable<fj::streamed_response> {
+            const auto broken = [](asio::mutable_buffer)
+                -> fj::awaitable<fj::result<std::size_t>> {
+                throw std::runtime_error("fault");
+                co_return std::size_t{0};
+            };
+            co_return fj::streamed_response{200, {}, std::nullopt, broken};
+        });
+    // An HTTP/1.0 caller takes an ordinary close for the end of the body.
+    const auto talk =
+        [](tcp::endpoint address) -> fj::awaitable<boost::system::error_code> {
+        tcp::socket socket(io());
+        co_await socket.async_connect(address, use_awaitable);
+        const std::string text = "GET / HTTP/1.0\r\n\r\n";
+        co_await asio::async_write(socket, asio::buffer(text), use_awaitable);
+        std::string answer;
+        boost::system::error_code failure;
+        co_await asio::async_read(
+            socket, asio::dynamic_buffer(answer),
+            asio::redirect_error(use_awaitable, failure));
+        co_return failure;
+    };
+    CHECK(run(talk(target.address)) == asio::error::connection_reset);
+}
+
 TEST_CASE("nothing listening is connection_failed, bad heads are not sent")
 {
     tcp::acceptor unused(io(), any_port);
