Measure a restart by what routing sees

Cause: at 30 nodes the restart 'was not complete within 60 s' because the measurement waited for a status that the row implies and that new neighbours do not get; every node had the instance among its candidates. Change: the measurement asks for the candidates.

--- a/src/membership/membership_measure_main.cpp
+++ b/src/membership/membership_measure_main.cpp
@@ -158,6 +158,17 @@
     return oldest;
 }
 
+// Whether a node would route to the present life of an instance.
+bool is_candidate(const sim::node& viewer, const sim::node& instance)
+{
+    const auto list = viewer.members->candidates(instance.record.service);
+    return std::any_of(
+        list.begin(), list.end(), [&](const fj::service_candidate& one) {
+            return one.name == instance.record.name &&
+                   one.life == instance.members->self().life;
+        });
+}
+
 void measure_spread(sim::fleet& fleet, std::size_t size)
 {
     const auto version = fleet.change("key/a", "changed").value();
@@ -179,11 +190,8 @@
     fleet.start(victim);
     print(
         size, "a restart at once, until it is a candidate",
-        time_until(fleet, [&](auto& one) {
-            const auto view = one.members->find(victim.record.name);
-            return view && !view->down && view->status.ready &&
-                   view->status.life == victim.members->self().life;
-        }));
+        time_until(
+            fleet, [&](auto& one) { return is_candidate(one, victim); }));
 }
 
 void lose_zone(sim::fleet& fleet)
