Ramp up to the announced slots also without demand

Change: with announced slots the ramp goes on without demand; tests with a small server for fairness, the limit and the ramp.

--- a/src/admission/admission_test.cpp
+++ b/src/admission/admission_test.cpp
@@ -219,3 +219,134 @@
     run(1000, 0);
     CHECK(done == 1000);
 }
+
+namespace {
+
+// A backend server with 20 places and 50 ms for each request, which is 400
+// requests a second, and Poisson arrivals of two accounts.
+struct overload_run
+{
+    explicit overload_run(std::size_t slots) : admission({}, start)
+    {
+        admission.restarted(slots, start);
+    }
+
+    void run(fj::duration length, double rate_a, double rate_b)
+    {
+        const auto end = now + length;
+        for (; now < end; now += milliseconds(1)) {
+            arrive("a", rate_a);
+            arrive("b", rate_b);
+            while (!ends.empty() && ends.begin()->first <= now) {
+                const auto id = ends.begin()->second;
+                ends.erase(ends.begin());
+                take(admission.finish(id, fj::completion::succeeded, now));
+            }
+            take(admission.tick(now));
+        }
+    }
+
+    void arrive(const fj::client_account& account, double rate)
+    {
+        std::poisson_distribution<int> count(rate / 1000);
+        for (int left = count(random); left != 0; --left) {
+            auto request =
+                make_request(++last_id, fj::importance::normal, account);
+            request.root = root_of(random());
+            request.deadline = now + fj::seconds(1);
+            offered[account] += 1;
+            requests[last_id] = request;
+            take(admission.offer(request, now));
+        }
+    }
+
+    void take(const fj::admission_events& events)
+    {
+        for (const auto id : started(events)) {
+            const auto& request = requests.at(id);
+            done[request.account] += 1;
+            lowest[request.account] = std::min(
+                lowest[request.account], 1 - fj::shedding_hash(request.root));
+            // Requests beyond the places share the server's speed.
+            const double share =
+                std::max(1.0, static_cast<double>(admission.in_flight()) / 20);
+            ends.emplace(now + fj::from_seconds(0.05 * share), id);
+        }
+        refused(events);
+    }
+
+    void forget()
+    {
+        offered.clear();
+        done.clear();
+        lowest = {{"a", 1}, {"b", 1}};
+    }
+
+    std::mt19937_64 random{3};
+    fj::time_point now = start;
+    fj::admission_controller admission;
+    std::uint64_t last_id = 0;
+    std::map<std::uint64_t, fj::admission_request> requests;
+    std::multimap<fj::time_point, std::uint64_t> ends;
+    std::map<fj::client_account, double> offered;
+    std::map<fj::client_account, double> done;
+    std::map<fj::client_account, double> lowest;
+};
+
+} // namespace
+
+TEST_CASE("an account at 10x its rate does not take from the other")
+{
+    overload_run run(20);
+    run.run(fj::seconds(3), 150, 150);
+    run.run(fj::seconds(3), 1500, 150);
+    run.forget();
+    run.run(fj::seconds(5), 1500, 150);
+    CHECK(run.done["b"] > 0.98 * run.offered["b"]);
+    CHECK(run.done["a"] + run.done["b"] > 0.93 * 400 * 5);
+    // The roots of the heavy account that survive are those of high hash.
+    CHECK(run.lowest["a"] > 0.5);
+    CHECK(run.admission.level({"a", false}, run.now) > 1.5);
+    CHECK(run.admission.level({"b", false}, run.now) < 1.1);
+    // Nothing is refused when the surge is over.
+    run.run(fj::seconds(2), 100, 150);
+    run.forget();
+    run.run(fj::seconds(3), 100, 150);
+    CHECK(run.done["a"] == run.offered["a"]);
+}
+
+TEST_CASE("the limit follows the server where slots are not announced")
+{
+    overload_run run(0);
+    CHECK(run.admission.limit() == 8);
+    run.run(fj::seconds(20), 900, 900);
+    CHECK(run.admission.limit() >= 18);
+    CHECK(run.admission.limit() <= 80);
+}
+
+TEST_CASE("a restart ramps up from the start limit, also without demand")
+{
+    overload_run run(80);
+    run.run(fj::seconds(5), 50, 50);
+    CHECK(run.admission.limit() == 80);
+    run.admission.restarted(80, run.now);
+    CHECK(run.admission.limit() == 8);
+}
+
+TEST_CASE("a server slowed by another service keeps its limit")
+{
+    fj::admission_controller admission({}, start);
+    admission.restarted(20, start);
+    auto now = start;
+    for (std::uint64_t id = 1; id != 4000; ++id) {
+        admission.offer(make_request(id), now);
+        if (id > 20)
+            admission.finish(id - 20, fj::completion::succeeded, now);
+        // After a while the calls that it makes take 40 times as long.
+        admission.call_started(id, now + milliseconds(1));
+        now += milliseconds(id < 1000 ? 2 : 10);
+        admission.call_ended(id, now);
+        admission.tick(now);
+    }
+    CHECK(admission.limit() == 20);
+}
--- a/src/admission/concurrency_limit.cpp
+++ b/src/admission/concurrency_limit.cpp
@@ -50,6 +50,7 @@
         slots == 0 ? settings_.max_limit : std::min(slots, settings_.max_limit);
     ceiling_ = static_cast<double>(std::max(ceiling, settings_.min_limit));
     limit_ = std::min(ceiling_, static_cast<double>(settings_.start_limit));
+    slots_known_ = slots != 0;
     window_ = window{};
     window_.start = now;
     baseline_ = 0;
@@ -107,6 +108,10 @@
     if (!window_.saturated) {
         // An unused limit adds no wait, so this is the server's own latency.
         baseline_ += 0.2 * (latency - baseline_);
+        // The ramp to the announced slots goes on without demand, or a surge
+        // would meet a limit that is too low.
+        if (slots_known_ && !lowered_)
+            grow();
         return;
     }
     if (latency > trial_threshold * baseline_) {
--- a/src/admission/concurrency_limit.hpp
+++ b/src/admission/concurrency_limit.hpp
@@ -50,6 +50,7 @@
     admission_settings settings_;
     double limit_;
     double ceiling_;
+    bool slots_known_ = false;
     window window_;
     /// Latency in seconds while the limit was not in the way; 0 if unknown.
     double baseline_ = 0;
