Tell a level of 0 from one that is not known

Cause: an instance without a fresh level for a flow counted as 0 in the mean of the service. Change: levels of 0 are kept until they expire.

--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -130,10 +130,8 @@
         return;
     std::erase_if(
         levels, [now](const auto& item) { return now >= item.second.expires; });
-    if (*seen.level <= 0)
-        levels.erase(seen.flow);
-    else
-        levels[seen.flow] = {*seen.level, now + level_expiry};
+    // A level of 0 is kept too: it differs from not knowing.
+    levels[seen.flow] = {*seen.level, now + level_expiry};
 }
 
 bool is_connection_failure(const routing_observation& seen)
@@ -336,13 +334,11 @@
     double sum = 0;
     std::size_t known = 0;
     for (const auto& candidate : found->second) {
-        const auto& state = states_.at(candidate.name);
-        const auto level = state.level(flow, now);
-        if (now < state.ejected_until)
+        const auto& levels = states_.at(candidate.name).levels;
+        const auto item = levels.find(flow);
+        if (item == levels.end() || now >= item->second.expires)
             continue;
-        if (level == 0 && now >= state.answers_until)
-            continue;
-        sum += level;
+        sum += item->second.level;
         ++known;
     }
     return known == 0 ? 0 : sum / static_cast<double>(known);
