--- a/include/fulmarjunction/rates/rate_limiter.hpp
+++ b/include/fulmarjunction/rates/rate_limiter.hpp
@@ -34,8 +34,9 @@
     /// Longest pause between two questions for an account that all holders
     /// have refused. It bounds messages of an account far above its rate.
     milliseconds longest_pause{4000};
-    /// Requests of one account that may wait at once.
-    std::size_t most_waiting = 256;
+    /// Requests of one account that may wait at once: what arrives at one
+    /// node in about 100 ms at 40,000 requests a second.
+    std::size_t most_waiting = 4096;
     /// Accounts for which the limiter keeps state.
     std::size_t most_accounts = 100'000;
     /// By how much a clock may run fast: buckets fill that much slower. The
--- a/src/rates/borrower.cpp
+++ b/src/rates/borrower.cpp
@@ -213,7 +213,7 @@
     const auto faded =
         demand_ * std::exp(-to_seconds(now - at_) / demand_window_s);
     const auto demand = std::min(faded, view.plan_rate);
-    const auto wanted = demand * to_seconds(view.settings.ahead);
+    const auto wanted = demand * view.ahead_s;
     if (wanted < least_ahead || now < probing_until_)
         return 0;
     auto at_hand = view.own_level + tokens(now);
--- a/src/rates/borrower.hpp
+++ b/src/rates/borrower.hpp
@@ -21,6 +21,8 @@
     duration own_wait{0};
     /// The account's rate; bounds what is asked ahead.
     double plan_rate = 0;
+    /// How much of its demand the node asks for ahead, in seconds.
+    double ahead_s = 0;
 };
 
 /// Loans, waiting requests and questions of one account at one node.
--- a/src/rates/rate_limiter.cpp
+++ b/src/rates/rate_limiter.cpp
@@ -44,8 +44,12 @@
 constexpr milliseconds shortest_loan{20};
 
 /// Part of the time in which a share's burst refills that a loan may live:
-/// loans then take up at most about a quarter of the burst.
-constexpr double loan_part_of_refill = 0.25;
+/// loans then take up at most about half of the burst.
+constexpr double loan_part_of_refill = 0.5;
+
+/// Part of a loan's life for which tokens are asked ahead; more would mostly
+/// be returned unused.
+constexpr double ahead_part_of_life = 0.75;
 
 /// Denied borrowers come back after at most this part of the time in which
 /// the bucket fills, so that it does not overflow meanwhile.
@@ -55,15 +59,20 @@
 /// Rounding of times to whole milliseconds in messages.
 constexpr duration message_rounding = milliseconds(1);
 
+double refill_seconds(double rate, double burst)
+{
+    return rate > 0 ? burst / rate : 0;
+}
+
 double refill_seconds(const share_bucket& bucket)
 {
-    return bucket.rate() > 0 ? bucket.burst() / bucket.rate() : 0;
+    return refill_seconds(bucket.rate(), bucket.burst());
 }
 
-milliseconds loan_life(const share_bucket& bucket, milliseconds longest)
+/// @param refill_s time in which a share's burst refills, in seconds
+milliseconds loan_life(double refill_s, milliseconds longest)
 {
-    const auto part =
-        from_seconds(loan_part_of_refill * refill_seconds(bucket));
+    const auto part = from_seconds(loan_part_of_refill * refill_s);
     const auto least = std::min(shortest_loan, longest);
     return std::clamp(
         std::chrono::duration_cast<milliseconds>(part), least, longest);
@@ -225,7 +234,13 @@
         view.own_level = account.bucket.level();
         view.own_wait = account.bucket.until_token();
         const auto& plan = account.keeper.plan();
-        view.plan_rate = plan ? plan->rate : 0;
+        if (!plan)
+            return view;
+        view.plan_rate = plan->rate;
+        const auto life = loan_life(
+            refill_seconds(plan->rate, plan->burst), settings_.loan_life);
+        view.ahead_s = std::min(
+            to_seconds(settings_.ahead), ahead_part_of_life * to_seconds(life));
         return view;
     }
 
@@ -453,7 +468,8 @@
             answer.life = known->life;
             return;
         }
-        const auto life = loan_life(bucket, settings_.loan_life);
+        const auto life =
+            loan_life(refill_seconds(bucket), settings_.loan_life);
         const auto held =
             from_seconds(detail::clock_margin * to_seconds(life)) +
             message_rounding;
--- a/src/rates/rates_measure_main.cpp
+++ b/src/rates/rates_measure_main.cpp
@@ -226,14 +226,14 @@
 
     void schedule_incident()
     {
-        const auto begin = warm_up + 15 * sim_second;
+        const auto begin = warm_up + measured_ / 4;
         if (plan_.event == incident::crashed_holder) {
             fleet_.at(
                 begin, [this] { fleet_.crash(fleet_.find_holder(account)); });
         }
         if (plan_.event == incident::plan_change) {
             fleet_.at(begin, [this] { change(0.5); });
-            fleet_.at(begin + 20 * sim_second, [this] { change(1.0); });
+            fleet_.at(begin + measured_ / 3, [this] { change(1.0); });
         }
     }
 
