--- a/src/rates/rates_test.cpp
+++ b/src/rates/rates_test.cpp
@@ -233,6 +233,22 @@
     CHECK(node.take_all(at(9000)) == 12);
 }
 
+TEST_CASE("a higher value is applied once the row was seen", "[rates]")
+{
+    holder node;
+    node.limiter.set_members(
+        std::make_shared<std::vector<fj::rate_member>>(
+            std::vector<fj::rate_member>{{"h", "z1", 7}}),
+        start);
+    node.limiter.set_plan("a", plan_of(100, 15), start);
+    const auto changes = node.limiter.plan_changes(at(1000));
+    REQUIRE(changes.size() == 1);
+    CHECK(changes[0].step == fj::ledger_step::raise);
+    CHECK(node.take_all(at(5000)) == 12);
+    node.limiter.change_done(changes[0].id, fj::table_version{2}, at(5000));
+    CHECK(node.take_all(at(9000)) == 15);
+}
+
 TEST_CASE("late, duplicate and foreign answers give no tokens", "[rates]")
 {
     fj::rate_limiter node({}, {"b", "z1", 1}, 1);
