--- a/src/admission/concurrency_limit.cpp
+++ b/src/admission/concurrency_limit.cpp
@@ -16,9 +16,11 @@
 constexpr double ramp_factor = 1.35;
 /// Growth after the limit has been lowered once.
 constexpr double probe_factor = 1.03;
-/// Latency over the baseline at which a trial is made. Lower values start
-/// trials on the noise of common service times.
-constexpr double trial_threshold = 2.0;
+/// Latency over the baseline at which a trial is made. With announced slots
+/// the limit is seldom too high, and a lower value starts trials on the noise
+/// of few answers; without them it leaves fewer requests waiting inside.
+constexpr double trial_threshold_known = 2.0;
+constexpr double trial_threshold_unknown = 1.5;
 /// A trial that lowers latency to less than this shows that requests wait
 /// inside the backend server.
 constexpr double trial_effect = 0.75;
@@ -114,7 +116,9 @@
             grow();
         return;
     }
-    if (latency > trial_threshold * baseline_) {
+    const double threshold =
+        slots_known_ ? trial_threshold_known : trial_threshold_unknown;
+    if (latency > threshold * baseline_) {
         if (now >= next_trial_)
             begin_trial(latency, now);
         return;
