Make members private and let the model see loans past a lease

Cause: clang-tidy's naming rule; with loans of one tick the model could not show what safeguard 9 prevents. Change: private members; loans of two ticks in model/shares.pml.

--- a/model/shares.pml
+++ b/model/shares.pml
@@ -28,7 +28,7 @@
 
 #define PLAN 1
 #define LEASE 2
-#define LOAN 1
+#define LOAN 2
 #define LAST_TICK 3
 #define LAST_VERSION 4
 #define LAST_ROW 1
--- a/src/rates/rate_limiter.cpp
+++ b/src/rates/rate_limiter.cpp
@@ -606,6 +606,9 @@
             refresh_holders(*account);
     }
 
+private:
+    friend class rate_limiter;
+
     rate_settings settings_;
     rate_member self_;
     std::uint64_t random_;
--- a/src/unique/key_issuer.cpp
+++ b/src/unique/key_issuer.cpp
@@ -661,6 +661,9 @@
         return count;
     }
 
+private:
+    friend class key_issuer;
+
     issuer_settings settings_;
     instance_name self_;
     incarnation life_;
