--- a/include/fulmarjunction/core/request_context.hpp
+++ b/include/fulmarjunction/core/request_context.hpp
@@ -29,6 +29,9 @@
     bool invested = false;
     /// Weight of the account's plan for fair sharing.
     double weight = 1.0;
+    /// Highest level of this service for this request's flow that nodes on
+    /// the way here have applied.
+    double applied_level = 0;
     /// Empty unless the endpoint is unique.
     std::string idempotency_key;
 };
--- a/include/fulmarjunction/serving/backend_gate.hpp
+++ b/include/fulmarjunction/serving/backend_gate.hpp
@@ -64,6 +64,11 @@
         request_context context, streamed_request request,
         cancel_event canceled);
 
+    /// A running request waits for a call of its own: this time is not the
+    /// backend server's.
+    void call_started(std::uint64_t id);
+    void call_ended(std::uint64_t id);
+
     in_flight_table& running() { return running_; }
     std::size_t waiting() const { return admission_.waiting(); }
     std::size_t in_flight() const { return admission_.in_flight(); }
--- a/include/fulmarjunction/serving/in_flight.hpp
+++ b/include/fulmarjunction/serving/in_flight.hpp
@@ -26,6 +26,8 @@
     }
 
     request_context context;
+    /// Name of the request in the node's admission.
+    std::uint64_t id = 0;
     /// Extra attempts left for the calls that it makes.
     retry_budget budget;
     /// What the calls that it made met.
--- a/src/admission/shedding.cpp
+++ b/src/admission/shedding.cpp
@@ -31,6 +31,10 @@
 constexpr double greatest_lowering = 0.1;
 /// Use of the limit that needs no correction.
 constexpr double full_use = 0.97;
+/// Below this use of the limit with nothing waiting there is no overload,
+/// whatever the estimates say: after long requests the mean time that a place
+/// is held takes a second to follow short ones.
+constexpr double idle_use = 0.5;
 /// Less than this is left to the queue: a cut on noise refuses needlessly.
 constexpr double least_refused_share = 0.02;
 /// Some roots always pass, or demand could not be measured.
@@ -148,6 +152,7 @@
     const double wait = started_count_ == 0
                             ? 0
                             : wait_sum_ / static_cast<double>(started_count_);
+    idle_ = use < idle_use && load.waiting == 0;
     const bool stuck = started_count_ == 0 && load.waiting != 0;
     const double target = to_seconds(settings_.target_wait);
     if (stuck || wait > target) {
@@ -179,7 +184,7 @@
 void shedding::set_levels()
 {
     double left = capacity_ * correction_;
-    const bool known = capacity_ > 0;
+    const bool known = capacity_ > 0 && !idle_;
     refusing_ = false;
     for (std::size_t rank = importance_classes; rank-- != 0;) {
         std::map<client_account, account_demand> by_account;
--- a/src/admission/shedding.hpp
+++ b/src/admission/shedding.hpp
@@ -95,6 +95,8 @@
     /// Sum and number of the samples of the part of the limit in use.
     double use_sum_ = 0;
     std::size_t use_count_ = 0;
+    /// Whether the limit was hardly in use in the last period.
+    bool idle_ = false;
     /// Whether some flow is refused in part.
     bool refusing_ = false;
     double wait_sum_ = 0;
--- a/src/demo/demo_main.cpp
+++ b/src/demo/demo_main.cpp
@@ -319,7 +319,6 @@
         fmt::format(
             "{} before, {} within 5 s", before.status, after.field("reason")),
         withdrawn.code == 0 && before.status == 200 && after.status == 401);
-    if (std::getenv("FULMAR_DEBUG")) for (auto* n : all_.nodes()) fmt::print("{}\n", boost::json::serialize(all_.status(*n)));
 }
 
 void demo::run()
--- a/src/serving/backend_gate.cpp
+++ b/src/serving/backend_gate.cpp
@@ -149,6 +149,16 @@
     }
 }
 
+void backend_gate::call_started(std::uint64_t id)
+{
+    admission_.call_started(id, clock::now());
+}
+
+void backend_gate::call_ended(std::uint64_t id)
+{
+    admission_.call_ended(id, clock::now());
+}
+
 void backend_gate::finish(std::uint64_t id, completion how)
 {
     apply(admission_.finish(id, how, clock::now()));
@@ -209,13 +219,11 @@
         context.root, context.invested, context.deadline};
     if (const auto refused = co_await admit(std::move(offered), canceled)) {
         notes.level = level_for(context);
-        log(log_level::warning, "DEBUG_admit", {{"reason", to_string(refused->reason)},{"level", *notes.level}, {"limit", admission_.limit()}, {"inflight", admission_.in_flight()}});
         co_return refusal_answer(*refused, notes);
     }
     const bool alone = treatment.action == suspect_action::run_alone;
     if (!co_await wait_for_turn(id, alone, context.deadline, canceled)) {
         finish(id, completion::refused);
-        log(log_level::warning, "DEBUG_turn");
         co_return refusal_answer(
             {outcome::not_run, refusal_reason::overloaded, 0}, notes);
     }
@@ -263,6 +271,7 @@
         std::make_shared<running_request>(std::move(context), canceled);
     // The calls that the request makes end with it, not only with its
     // caller, so they get an event of their own.
+    running->id = id;
     running->canceled = cancel_event(executor_);
     canceled.on_cancel([children = running->canceled] { children.cancel(); });
     const auto guard =
--- a/src/serving/context_codec.cpp
+++ b/src/serving/context_codec.cpp
@@ -14,6 +14,7 @@
 /// Longest remaining time accepted from a peer: one day in milliseconds.
 constexpr std::int64_t max_timeout_ms = 86'400'000;
 constexpr std::uint32_t max_depth = 64;
+constexpr double highest_level = 16;
 constexpr std::uint32_t max_retries = 16;
 
 /// Takes fields out of a list, remembering the first one that is bad.
@@ -114,6 +115,9 @@
     add(fields, "fj-retries", fmt::format("{}", context.retries));
     add(fields, "fj-invested", context.invested ? "1" : "0");
     add(fields, "fj-weight", fmt::format("{}", context.weight));
+    if (context.applied_level > 0)
+        add(fields, "fj-applied-level",
+            fmt::format("{:.4f}", context.applied_level));
     if (!context.idempotency_key.empty())
         add(fields, "fj-idempotency-key", context.idempotency_key);
 }
@@ -139,6 +143,8 @@
         taker.required_number<std::uint32_t>("fj-invested", 0, 1) == 1;
     context.weight =
         taker.required_number<double>("fj-weight", 0.001, 1'000'000);
+    context.applied_level =
+        taker.number<double>("fj-applied-level", 0, highest_level).value_or(0);
     context.idempotency_key =
         taker.text("fj-idempotency-key").value_or(std::string());
     if (!taker.bad().empty())
@@ -170,7 +176,6 @@
 
 result<answer_notes> take_notes(header_fields& fields)
 {
-    constexpr double highest_level = 16;
     field_taker taker(fields);
     answer_notes notes;
     notes.what = taker.required_name("fj-outcome", parse_outcome);
--- a/src/serving/dispatcher.cpp
+++ b/src/serving/dispatcher.cpp
@@ -72,9 +72,10 @@
     if (treatment.action == suspect_action::refuse) {
         co_return refusal{outcome::not_run, refusal_reason::suspect_request, 0};
     }
-    const routing_request wanted{
+    routing_request wanted{
         call.context.service, priority,
         admission_flow{call.context.account, call.context.invested}};
+    const auto applied_on_the_way = call.context.applied_level;
     std::set<instance_name> tried;
     call_answer last(
         refusal{outcome::not_run, refusal_reason::deadline_expired, 0});
@@ -88,13 +89,15 @@
         if (is_suspect)
             choice.instance = treatment.instance;
         if (!choice.instance && tried.empty()) {
-            log(log_level::warning, "DEBUG_call_refused_here",
+            log(log_level::debug, "call_refused_here",
                 {{"service", call.context.service},
                  {"reason", to_string(choice.why.reason)}});
             co_return choice.why;
         }
         if (!choice.instance)
             co_return last;
+        call.context.applied_level =
+            std::max(applied_on_the_way, choice.applied_level);
         const auto handed = budget.hand_down(part_for_child(budget));
         auto tried_once =
             co_await try_instance(call, *choice.instance, handed, canceled);
@@ -113,6 +116,8 @@
             last.why.what = outcome::unknown;
         if (is_suspect || !may_retry(failed) || !budget.spend())
             co_return last;
+        wanted.after_overload = wanted.after_overload ||
+                                last.why.reason == refusal_reason::overloaded;
         ++retries_;
         tried.insert(*choice.instance);
     }
--- a/src/serving/egress.cpp
+++ b/src/serving/egress.cpp
@@ -138,7 +138,9 @@
         co_return caller_refusal(why, id);
     }
     const auto definition = *endpoint;
+    parts_.gate->call_started(parent->id);
     auto answer = co_await run(definition, std::move(request), parent);
+    parts_.gate->call_ended(parent->id);
     const bool is_overloaded =
         !answer.response && answer.why.reason == refusal_reason::overloaded;
     auto& below = parent->below;
--- a/src/serving/entry.cpp
+++ b/src/serving/entry.cpp
@@ -1,6 +1,5 @@
 #include <fulmarjunction/serving/entry.hpp>
 
-#include <fulmarjunction/core/log.hpp>
 #include <boost/json.hpp>
 
 #include <algorithm>
@@ -322,9 +321,8 @@
         endpoint.name, call.context.account,
         priority_of(call.context.rank, call.context.root)};
     if (parts_.hooks.refuse_early) {
-        if (const auto why = parts_.hooks.refuse_early(root)) {
-            log(log_level::warning, "DEBUG_early");
-            co_return *why; }
+        if (const auto why = parts_.hooks.refuse_early(root))
+            co_return *why;
     }
     retry_budget budget(parts_.extra_attempts);
     // g++ 12 miscompiles co_await inside a conditional expression.
