--- a/include/fulmarjunction/platform/http_platform.hpp
+++ b/include/fulmarjunction/platform/http_platform.hpp
@@ -13,12 +13,12 @@
 /// Returns a table service that speaks docs/platform-protocol.md.
 /// @param timeout longest time for one call
 table_service make_http_table_service(
-    boost::asio::any_io_executor executor,
-    boost::asio::ip::tcp::endpoint address, milliseconds timeout);
+    const boost::asio::any_io_executor& executor,
+    const boost::asio::ip::tcp::endpoint& address, milliseconds timeout);
 
 /// Returns an object store that speaks docs/platform-protocol.md.
 object_store make_http_object_store(
-    boost::asio::any_io_executor executor,
-    boost::asio::ip::tcp::endpoint address, milliseconds timeout);
+    const boost::asio::any_io_executor& executor,
+    const boost::asio::ip::tcp::endpoint& address, milliseconds timeout);
 
 } // namespace fulmarjunction
--- a/src/ctl/ctl_test.cpp
+++ b/src/ctl/ctl_test.cpp
@@ -44,10 +44,11 @@
             [this](const std::string& path) -> fj::result<std::string> {
             return files.at(path);
         };
-        environment.ask_node =
-            [this](std::string address, std::string, std::string) {
-                return answer(address);
-            };
+        environment.ask_node = [this](
+                                   std::string address, const std::string&,
+                                   const std::string&) {
+            return answer(std::move(address));
+        };
         files["plans"] = plans;
         files["accounts"] = accounts;
     }
--- a/src/ctl/fulmarctl_main.cpp
+++ b/src/ctl/fulmarctl_main.cpp
@@ -323,7 +323,7 @@
     output.status = fj::exit_status::failed;
     asio::co_spawn(
         io, run(environment, line.words, output),
-        [&io](std::exception_ptr thrown) {
+        [&io](const std::exception_ptr& thrown) {
             // Kept connections must not keep the program running.
             io.stop();
             if (thrown)
--- a/src/platform/bounded_table_service.cpp
+++ b/src/platform/bounded_table_service.cpp
@@ -126,7 +126,7 @@
     auto state = std::make_shared<bounded_state>(
         bounded_state{std::move(inner), policy, std::move(hooks), budget});
     table_service bounded;
-    bounded.get = [state](std::string key) {
+    bounded.get = [state](const std::string& key) {
         using row = std::optional<table_row>;
         return read_with_retries<row>(
             state, "table.get", [state, key] { return state->inner.get(key); });
--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -262,8 +262,8 @@
 } // namespace
 
 table_service make_http_table_service(
-    boost::asio::any_io_executor executor,
-    boost::asio::ip::tcp::endpoint address, milliseconds timeout)
+    const boost::asio::any_io_executor& executor,
+    const boost::asio::ip::tcp::endpoint& address, milliseconds timeout)
 {
     const auto state = make_client(executor, address, timeout);
     table_service service;
@@ -280,8 +280,8 @@
 }
 
 object_store make_http_object_store(
-    boost::asio::any_io_executor executor,
-    boost::asio::ip::tcp::endpoint address, milliseconds timeout)
+    const boost::asio::any_io_executor& executor,
+    const boost::asio::ip::tcp::endpoint& address, milliseconds timeout)
 {
     const auto state = make_client(executor, address, timeout);
     object_store store;
--- a/src/settings/definitions.cpp
+++ b/src/settings/definitions.cpp
@@ -196,7 +196,7 @@
     const auto* text = value.if_string();
     if (text == nullptr)
         return std::nullopt;
-    const auto address = parse_address(*text);
+    auto address = parse_address(*text);
     if (!address || (address->port() == 0 && !rule.zero_port) ||
         (rule.loopback_only && !address->address().is_loopback()) ||
         (!rule.wildcard && address->address().is_unspecified()))
--- a/src/standin/backend_standin_main.cpp
+++ b/src/standin/backend_standin_main.cpp
@@ -87,7 +87,7 @@
         if (failure)
             return;
         boost::asio::co_spawn(
-            io, stop(io, standin), [](std::exception_ptr thrown) {
+            io, stop(io, standin), [](const std::exception_ptr& thrown) {
                 if (thrown)
                     std::rethrow_exception(thrown);
             });
--- a/src/standin/backend_standin_test.cpp
+++ b/src/standin/backend_standin_test.cpp
@@ -79,7 +79,7 @@
         for (std::size_t i = 0; i != questions.size(); ++i)
             asio::co_spawn(
                 io_, ask(questions[i].target, questions[i].timeout, replies[i]),
-                [&left](std::exception_ptr thrown) {
+                [&left](const std::exception_ptr& thrown) {
                     if (thrown)
                         std::rethrow_exception(thrown);
                     --left;
@@ -120,7 +120,8 @@
     fj::result<void> drain()
     {
         std::optional<fj::result<void>> drained;
-        asio::co_spawn(io_, drain_into(drained), [](std::exception_ptr) {});
+        asio::co_spawn(
+            io_, drain_into(drained), [](const std::exception_ptr&) {});
         while (!drained)
             io_.run_one();
         return *drained;
--- a/src/standin/platform_contract_test.cpp
+++ b/src/standin/platform_contract_test.cpp
@@ -48,7 +48,8 @@
     {
         std::optional<T> value;
         boost::asio::co_spawn(
-            io_, store(std::move(work), value), [](std::exception_ptr failure) {
+            io_, store(std::move(work), value),
+            [](const std::exception_ptr& failure) {
                 if (failure)
                     std::rethrow_exception(failure);
             });
