--- a/include/fulmarjunction/standin/backend_standin.hpp
+++ b/include/fulmarjunction/standin/backend_standin.hpp
@@ -36,7 +36,8 @@
 {
 public:
     backend_standin(
-        boost::asio::any_io_executor executor, backend_standin_options options);
+        const boost::asio::any_io_executor& executor,
+        backend_standin_options options);
     ~backend_standin();
     backend_standin(const backend_standin&) = delete;
     backend_standin& operator=(const backend_standin&) = delete;
--- a/include/fulmarjunction/standin/platform_standin.hpp
+++ b/include/fulmarjunction/standin/platform_standin.hpp
@@ -17,7 +17,7 @@
 class platform_standin
 {
 public:
-    explicit platform_standin(boost::asio::any_io_executor executor);
+    explicit platform_standin(const boost::asio::any_io_executor& executor);
     ~platform_standin();
     platform_standin(const platform_standin&) = delete;
     platform_standin& operator=(const platform_standin&) = delete;
--- a/src/standin/backend_standin.cpp
+++ b/src/standin/backend_standin.cpp
@@ -563,7 +563,7 @@
 };
 
 backend_standin::backend_standin(
-    asio::any_io_executor executor, backend_standin_options options)
+    const asio::any_io_executor& executor, backend_standin_options options)
     : impl_(std::make_shared<impl>(executor, std::move(options)))
 {
 }
--- a/src/standin/platform_standin.cpp
+++ b/src/standin/platform_standin.cpp
@@ -248,7 +248,7 @@
     http_server server_;
 };
 
-platform_standin::platform_standin(boost::asio::any_io_executor executor)
+platform_standin::platform_standin(const boost::asio::any_io_executor& executor)
     : impl_(std::make_shared<impl>(executor))
 {
 }
