--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -173,6 +173,7 @@
         auto last = std::move(kept_.back());
         kept_.pop_back();
         auto& link = *last.link;
+        link.on_end = nullptr;
         if (last.since >= oldest && link.is_open() && !link.has_ended() &&
             link.input().empty() && !link.stream().is_peer_gone())
             return last.link;
@@ -195,6 +196,10 @@
             other.link->close();
         return expired;
     });
+    link->on_end = [weak = std::weak_ptr<connection>(link)] {
+        if (const auto ended = weak.lock())
+            ended->close();
+    };
     kept_.push_back({std::move(link), clock::now()});
 }
 
@@ -278,7 +283,7 @@
             request.content_length.value_or(0), limits_.idle_timeout),
         asio::bind_cancellation_slot(
             upload->stop.slot(),
-            [upload, link = current->link](std::exception_ptr thrown) {
+            [upload, link = current->link](const std::exception_ptr& thrown) {
                 if (thrown) {
                     upload->failure =
                         error{errc::canceled, "http.send", {}, {}};
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -84,7 +84,7 @@
         asio::any_io_executor executor, http_limits limits,
         http_handler handler, http_refusal_handler refuse,
         std::shared_ptr<asio::ssl::context> tls)
-        : executor_(executor), acceptor_(executor), limits_(limits),
+        : executor_(std::move(executor)), acceptor_(executor_), limits_(limits),
           handler_(std::move(handler)), refuse_(std::move(refuse)),
           tls_(std::move(tls))
     {
@@ -196,7 +196,10 @@
         self->sessions_.insert(current);
         asio::co_spawn(
             self->executor_, serve(self, current),
-            [self, current](std::exception_ptr) {
+            [self, current](const std::exception_ptr& thrown) {
+                // A body that throws must not look like one that ended.
+                if (thrown)
+                    current->link->abort();
                 current->link->close();
                 self->sessions_.erase(current);
             });
@@ -220,11 +223,19 @@
 http_server::impl::serve(std::shared_ptr<impl> self, session_ptr current)
 {
     auto& link = *current->link;
-    if (self->tls_ && !co_await self->start_tls(current->link))
-        co_return;
+    if (self->tls_) {
+        const bool started = co_await self->start_tls(current->link);
+        if (!started)
+            co_return;
+    }
     link.start();
+    // g++ 12 evaluates `co_await` on the right of `&&` in a loop condition
+    // even when the left side is false, so each wait has its own statement.
     bool keep = true;
-    while (keep && co_await self->wait_for_request(*current)) {
+    while (keep) {
+        keep = co_await self->wait_for_request(*current);
+        if (!keep)
+            break;
         current->idle = false;
         keep = co_await self->serve_one(current);
         current->idle = true;
