Let reports outlast their way through a large fleet

Cause: 20 s after the loss of a zone at 1,000 nodes, half of the pairs (61,290 of 122,551) were not seen as down: nearly all five monitors reported before the first two reports reached them, and early reports expired on their way. Change: terms are stretched above 300 instances too, and the stagger of the third and later monitors grows with the number of probe neighbours.

--- a/include/fulmarjunction/membership/membership.hpp
+++ b/include/fulmarjunction/membership/membership.hpp
@@ -38,8 +38,11 @@
     /// Reports that may be current before repeats and expiry are stretched
     /// in proportion: bounds the traffic after the loss of a zone.
     std::size_t reports_unstretched = 32;
+    /// Instances that may exist before both are stretched in proportion.
+    std::size_t instances_unstretched = 300;
     /// Monitors after the first two wait for this much longer each before
-    /// they report, so that one failure does not cause six reports.
+    /// they report, so that one failure does not cause six reports. It is
+    /// multiplied in fleets with more than three probe neighbours.
     duration report_stagger = seconds(1);
     /// A backend server silent for this long is not ready.
     duration announce_timeout = seconds(3);
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -24,6 +24,8 @@
 /// A stamp held for longer is not echoed: evidence of such an age decides
 /// nothing, and a message bounds its ages.
 constexpr duration max_held = seconds(60);
+/// Probe neighbours of fleets of up to 64 instances.
+constexpr std::size_t min_offsets = 3;
 /// Longest term of a report, however many there are.
 constexpr duration max_report_term = std::chrono::minutes(30);
 
@@ -613,7 +615,7 @@
         const bool is_first = rank < 2;
         if (!is_first) {
             const auto wait = static_cast<int>(rank - 1);
-            if (now < *target.failing_since + wait * settings_.report_stagger)
+            if (now < *target.failing_since + wait * stagger())
                 return;
             if (table_.reports_by_others(name, now) >= 2) {
                 if (target.repeat_at)
@@ -626,14 +628,30 @@
         target.reported_life = life;
     }
 
+    /// A report must last longer than it takes to pass through the fleet
+    /// beside the others that are current.
     duration stretched(duration span) const
     {
-        const auto current =
-            std::max(table_.current_reports(), settings_.reports_unstretched);
-        const auto longer =
-            span * static_cast<std::int64_t>(current) /
-            static_cast<std::int64_t>(settings_.reports_unstretched);
-        return std::min(longer, max_report_term);
+        const auto ratio = [](std::size_t count, std::size_t unit) {
+            return static_cast<double>(count) / static_cast<double>(unit);
+        };
+        const auto factor = std::max(
+            {1.0,
+             ratio(table_.current_reports(), settings_.reports_unstretched),
+             ratio(table_.size(), settings_.instances_unstretched)});
+        return std::min(
+            from_seconds(to_seconds(span) * factor), max_report_term);
+    }
+
+    /// In a larger fleet the first reports take longer to reach the other
+    /// monitors, and there are more of these.
+    duration stagger() const
+    {
+        const auto steps =
+            targets_.size() <= min_offsets
+                ? 1
+                : static_cast<int>(targets_.size() - min_offsets) + 1;
+        return steps * settings_.report_stagger;
     }
 
     void state_report(
--- a/src/membership/membership_measure_main.cpp
+++ b/src/membership/membership_measure_main.cpp
@@ -210,6 +210,39 @@
     }
 }
 
+// Pairs of a live node and a dead one that it does not see as down.
+std::size_t pairs_unseen(const sim::fleet& fleet)
+{
+    std::size_t unseen = 0;
+    for (const auto& viewer : fleet.nodes) {
+        for (const auto& other : fleet.nodes) {
+            const bool wrong = viewer->up && !other->up &&
+                               !viewer->members->is_down(other->record.name);
+            unseen += wrong ? 1 : 0;
+        }
+    }
+    return unseen;
+}
+
+void measure_zone_loss(std::size_t size)
+{
+    sim::fleet fleet(size);
+    for (std::size_t i = 0; i != size; ++i)
+        fleet.add(zones, std::max<std::size_t>(3, size * 390 / 2600));
+    fleet.prime();
+    fleet.run(fj::seconds(5));
+    lose_zone(fleet);
+    for (int part = 1; part <= 6; ++part) {
+        const auto one = measure(fleet, 5);
+        fmt::print(
+            "| {} | {} | {:.2f} | {:.1f} | {} |\n", size, 5 * part,
+            one.bytes_per_second / kilobyte,
+            static_cast<double>(one.peak_bytes_per_second) / kilobyte,
+            pairs_unseen(fleet));
+        std::fflush(stdout);
+    }
+}
+
 void measure_size(std::size_t size, bool traffic)
 {
     sim::fleet fleet(size);
@@ -257,22 +290,16 @@
     lose_zone(fleet);
     print(size, "zone lost, first 10 s", measure(fleet, 10));
     print(size, "zone lost, next 10 s", measure(fleet, 10));
-    std::size_t unseen = 0;
-    for (const auto& viewer : fleet.nodes) {
-        for (const auto& other : fleet.nodes)
-            unseen += viewer->up && !other->up &&
-                              !viewer->members->is_down(other->record.name)
-                          ? 1
-                          : 0;
-    }
-    fmt::print("# {} nodes: pairs not yet seen as down: {}\n", size, unseen);
+    fmt::print(
+        "# {} nodes: pairs not yet seen as down: {}\n", size,
+        pairs_unseen(fleet));
     restart_zone(fleet);
     print(size, "zone back, first 10 s", measure(fleet, 10));
 }
 
 } // namespace
 
-// Arguments: `traffic` or `spread`, then the numbers of nodes.
+// Arguments: `traffic`, `spread` or `zone`, then the numbers of nodes.
 int main(int argc, char** argv)
 {
     const bool traffic = argc < 2 || std::string(argv[1]) == "traffic";
@@ -282,10 +309,17 @@
             "| nodes | phase | KB/s per node | of it rows | messages/s | peak "
             "KB in 1 s | largest probe, bytes | polls/s, fleet | CPU ms/s per "
             "node |\n|---|---|---|---|---|---|---|---|---|\n");
+    else if (std::string(argv[1]) == "zone")
+        fmt::print(
+            "| nodes | s after the loss | KB/s per node | peak KB in 1 s | "
+            "pairs not seen as down |\n|---|---|---|---|---|\n");
     else
         fmt::print(
             "| nodes | what | half, ms | all, ms |\n|---|---|---|---|\n");
-    for (int i = 2; i < argc; ++i)
+    const bool zone = argc > 1 && std::string(argv[1]) == "zone";
+    for (int i = 2; zone && i < argc; ++i)
+        measure_zone_loss(std::strtoul(argv[i], nullptr, 10));
+    for (int i = 2; !zone && i < argc; ++i)
         measure_size(std::strtoul(argv[i], nullptr, 10), traffic);
     return 0;
 }
--- a/src/membership/membership_test.cpp
+++ b/src/membership/membership_test.cpp
@@ -347,3 +347,86 @@
     CHECK_FALSE(orders.leaves[0].message.statuses.at(0).ready);
     CHECK(a.candidates("guides").size() == 1);
 }
+
+namespace {
+
+// Node `a` that knows `b` to `e`.
+std::unique_ptr<fj::membership> five_nodes()
+{
+    auto a = std::make_unique<fj::membership>(
+        fj::membership_settings{}, record_of("a"), start);
+    fj::table_version version = 0;
+    for (const auto* name : {"a", "b", "c", "d", "e"})
+        a->apply_row(row_of(record_of(name), ++version), start);
+    a->tick(start, version, {});
+    return a;
+}
+
+// A probe from `c` that carries reports, each "reporter about instance".
+void hear_reports(
+    fj::membership& a,
+    const std::vector<std::pair<const char*, const char*>>& reports,
+    fj::time_point now)
+{
+    fj::probe_message message;
+    message.from = "c";
+    message.life = 5'000'000;
+    for (const auto& [reporter, about] : reports)
+        message.reports.push_back(
+            {about, 5'000'000, reporter, 1, true, milliseconds(9000)});
+    a.probe_received(message, now, 5, {});
+    a.tick(now + milliseconds(500), 5, {});
+}
+
+} // namespace
+
+TEST_CASE("down rule: two reports, none of them by a reporter that is reported")
+{
+    auto a = five_nodes();
+    hear_reports(*a, {{"c", "b"}}, start + seconds(1));
+    CHECK_FALSE(a->is_down("b"));
+    hear_reports(*a, {{"d", "b"}}, start + seconds(2));
+    CHECK(a->is_down("b"));
+    // A node with broken links reports everybody and is reported itself.
+    hear_reports(*a, {{"d", "c"}, {"e", "c"}}, start + seconds(3));
+    CHECK_FALSE(a->is_down("b"));
+}
+
+TEST_CASE("down rule: an instance that answers this node is not down")
+{
+    auto a = five_nodes();
+    fj::probe_message answer;
+    answer.from = "b";
+    answer.life = 5'000'000;
+    const auto sent = start + seconds(1);
+    for (const auto& order : a->tick(sent, 5, {}).probes) {
+        if (order.to == "b")
+            a->probe_answered("b", answer, sent, sent);
+    }
+    const auto probed = a->neighbours();
+    const bool reached =
+        std::find(probed.begin(), probed.end(), "b") != probed.end();
+    hear_reports(*a, {{"c", "b"}, {"d", "b"}}, start + seconds(2));
+    CHECK(a->is_down("b") != reached);
+}
+
+TEST_CASE("pause: probes that failed around it do not add up to a report")
+{
+    fj::membership a({}, record_of("a"), start);
+    a.apply_row(row_of(record_of("b"), 1), start);
+    a.tick(start, 1, {});
+    for (int second = 1; second != 3; ++second) {
+        a.tick(start + seconds(second), 1, {});
+        a.probe_failed("b", start + seconds(second));
+    }
+    fj::set_log_sink([](std::string_view) {});
+    a.tick(start + seconds(20), 1, {});
+    fj::set_log_sink({});
+    a.probe_failed("b", start + seconds(20));
+    a.tick(start + seconds(21), 1, {});
+    CHECK_FALSE(a.is_down("b"));
+    a.probe_failed("b", start + seconds(21));
+    a.probe_failed("b", start + seconds(22));
+    a.tick(start + seconds(22), 1, {});
+    CHECK(a.is_down("b"));
+}
