--- a/src/rates/fleet/simulated_fleet.cpp
+++ b/src/rates/fleet/simulated_fleet.cpp
@@ -291,7 +291,7 @@
 }
 
 void simulated_fleet::commit(
-    std::size_t index, table_transaction change, commit_done done)
+    std::size_t index, table_transaction change, const commit_done& done)
 {
     const auto life = nodes_[index].life;
     const auto& faults = settings_.faults;
@@ -387,7 +387,7 @@
         } else {
             end_request(id, decision.verdict == rate_verdict::admitted);
         }
-        carry_out(index, std::move(decision.effects));
+        carry_out(index, decision.effects);
     });
 }
 
@@ -400,7 +400,7 @@
         recorded_.admitted.push_back({now_, request_accounts_[id]});
 }
 
-void simulated_fleet::carry_out(std::size_t index, rate_effects effects)
+void simulated_fleet::carry_out(std::size_t index, const rate_effects& effects)
 {
     auto& node = nodes_[index];
     for (const auto& ended : effects.resolved) {
@@ -410,8 +410,8 @@
         end_request(found->second, ended.verdict == rate_verdict::admitted);
         node.tickets.erase(found);
     }
-    for (auto& message : effects.send)
-        send_borrow(index, std::move(message));
+    for (const auto& message : effects.send)
+        send_borrow(index, message);
     schedule_poll(index);
 }
 
@@ -456,7 +456,8 @@
     }
 }
 
-void simulated_fleet::send_borrow(std::size_t from, outgoing_borrow message)
+void simulated_fleet::send_borrow(
+    std::size_t from, const outgoing_borrow& message)
 {
     const auto to = by_name_.at(message.to);
     if (count_bytes)
--- a/src/rates/fleet/simulated_fleet.hpp
+++ b/src/rates/fleet/simulated_fleet.hpp
@@ -162,12 +162,13 @@
     void read_ledger(
         std::size_t index, const client_account& account,
         std::function<void()> then);
-    void commit(std::size_t index, table_transaction change, commit_done done);
+    void commit(
+        std::size_t index, table_transaction change, const commit_done& done);
     result<table_version> apply(const table_transaction& change);
-    void carry_out(std::size_t index, rate_effects effects);
+    void carry_out(std::size_t index, const rate_effects& effects);
     void deliver(
         std::size_t from, std::size_t to, const std::function<void()>& arrive);
-    void send_borrow(std::size_t index, outgoing_borrow message);
+    void send_borrow(std::size_t index, const outgoing_borrow& message);
     void schedule_poll(std::size_t index);
     void end_request(std::size_t request, bool admitted);
     bool is_cut(std::size_t a, std::size_t b) const;
