--- a/src/serving/dispatcher.cpp
+++ b/src/serving/dispatcher.cpp
@@ -114,7 +114,12 @@
         may_have_run = may_have_run || last.why.what == outcome::unknown;
         if (may_have_run)
             last.why.what = outcome::unknown;
-        if (is_suspect || !may_retry(failed) || !budget.spend())
+        if (is_suspect || !may_retry(failed))
+            co_return last;
+        // The retries of one call count as crashes too; without this check
+        // one call takes down an instance with each attempt of its budget.
+        const auto next = parts_.classify(call.context.service, print);
+        if (next.action == suspect_action::refuse || !budget.spend())
             co_return last;
         wanted.after_overload = wanted.after_overload ||
                                 last.why.reason == refusal_reason::overloaded;
