--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -1,9 +1,9 @@
-# fulmar_slice(<name> [DEPENDS <slice>...])
+# fulmar_slice(<name> [DEPENDS <slice>...] [TEST_ARGUMENTS <argument>...])
 #
 # Builds the library fulmar_<name> from src/<name>/*.cpp without the tests,
 # and, where src/<name>/*_test.cpp exist, the test program <name>_test.
 function(fulmar_slice name)
-  cmake_parse_arguments(slice "" "" "DEPENDS" ${ARGN})
+  cmake_parse_arguments(slice "" "" "DEPENDS;TEST_ARGUMENTS" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
   file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*_test.cpp)
   file(GLOB mains CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*_main.cpp)
@@ -26,7 +26,7 @@
     add_executable(${name}_test ${tests})
     target_link_libraries(${name}_test PRIVATE
       fulmar_${name} fulmar_test_main)
-    add_test(NAME ${name} COMMAND ${name}_test)
+    add_test(NAME ${name} COMMAND ${name}_test ${slice_TEST_ARGUMENTS})
     set_tests_properties(${name} PROPERTIES TIMEOUT 300)
   endif()
   if(FULMAR_FUZZ)
