Tell neighbours of crashes of backend servers at once

Cause: crash reports spread with probes only, once a second for each hop, so a request that crashes backend servers and is sent again through other nodes within that second ran again (5 crashes seen where 2 are allowed). Change: a node whose list of suspects has changed tells its neighbours within 20 ms, and they pass on what is new to them.

--- a/src/daemon/gossip.cpp
+++ b/src/daemon/gossip.cpp
@@ -1,11 +1,13 @@
 #include "gossip.hpp"
 
 #include "control.hpp"
+#include "suspect_reports.hpp"
 
 #include <fulmarjunction/core/log.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/json.hpp>
 
 #include <utility>
 
@@ -17,6 +19,9 @@
 
 constexpr milliseconds tick_period(100);
 constexpr milliseconds message_timeout(1000);
+/// A caller may send a request that crashes backend servers again at once, so
+/// crashes are told at once and not with the next probe.
+constexpr milliseconds suspect_period(20);
 /// Pieces of one pull; a longer one goes on with the next probe.
 constexpr int max_pull_pieces = 64;
 
@@ -118,6 +123,45 @@
     }
 }
 
+void gossip::push_suspects()
+{
+    const auto last = state_.suspects.last_change();
+    if (last == suspects_told_)
+        return;
+    const auto reports = state_.suspects.changes(
+        suspects_told_, suspect_reports_per_probe, clock::now());
+    suspects_told_ = last;
+    const auto text = boost::json::serialize(to_json(reports));
+    for (const auto& name : state_.members.neighbours()) {
+        if (const auto to = state_.locate(name))
+            asio::co_spawn(executor_, send_suspects(*to, text), asio::detached);
+    }
+}
+
+awaitable<void> gossip::send_suspects(peer_address to, std::string text)
+{
+    const auto deadline = clock::now() + message_timeout;
+    const auto sent = co_await send_control(
+        peers_, to, "suspects", std::move(text), deadline);
+    if (!sent) {
+        log(log_level::debug, "suspects_not_delivered",
+            {{"peer", to.name}, {"error", to_string(sent.error())}});
+    }
+}
+
+result<std::string> gossip::answer_suspects(std::string_view text)
+{
+    boost::system::error_code problem;
+    const auto document = boost::json::parse(text, problem);
+    if (problem)
+        return fail(errc::malformed, "suspects", {}, problem.message());
+    BOOST_OUTCOME_TRY(auto reports, parse_suspect_reports(document));
+    // News raise the number of the last change and so are passed on.
+    for (const auto& report : reports)
+        state_.suspects.merge(report, clock::now());
+    return std::string("{}");
+}
+
 awaitable<void> gossip::send_push(peer_address to, rows_delta delta)
 {
     const auto sent = co_await send_control(
--- a/src/daemon/gossip.hpp
+++ b/src/daemon/gossip.hpp
@@ -31,6 +31,7 @@
     answer_probe(const instance_name& from, std::string_view text);
     result<std::string>
     answer_leave(const instance_name& from, std::string_view text);
+    result<std::string> answer_suspects(std::string_view text);
     result<std::string>
     answer_rows(const instance_name& from, std::string_view text);
 
@@ -39,6 +40,8 @@
     awaitable<result<std::string>>
     exchange_probe(const probe_order& order, time_point sent);
     awaitable<void> send_leave(leave_order order);
+    void push_suspects();
+    awaitable<void> send_suspects(peer_address to, std::string text);
     awaitable<void> send_push(peer_address to, rows_delta delta);
     awaitable<void> pull(peer_address from, rows_request request);
     void learn(peer_address from, const probe_result& learned);
@@ -48,7 +51,10 @@
     node_state& state_;
     peer_client& peers_;
     bool pulling_ = false;
+    /// Change of the suspects up to which neighbours were told.
+    std::uint64_t suspects_told_ = 0;
     timer_service::subscription ticks_;
+    timer_service::subscription suspect_checks_;
 };
 
 } // namespace fulmarjunction
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -433,6 +433,8 @@
         return gossip_->answer_leave(from, text);
     if (name == "rows")
         return gossip_->answer_rows(from, text);
+    if (name == "suspects")
+        return gossip_->answer_suspects(text);
     if (name == "borrow")
         return tokens_->answer_borrow(from, text);
     if (name == "handover")
