--- a/src/process/poison_request_test.cpp
+++ b/src/process/poison_request_test.cpp
@@ -26,7 +26,7 @@
 
 // Guards against one request that its caller repeats and that takes down one
 // backend server after the other.
-TEST_CASE("poison request sent again and again", "")
+TEST_CASE("poison request sent again and again")
 {
     fixture::deployment all;
     all.start_platform();
