Use one reader of addresses, one serve_when and one stripping of fields

Cause: the read-through found addresses read in three places, the freshness modes named twice, and three lists of fields that may not be passed on.

--- a/include/fulmarjunction/serving/context_codec.hpp
+++ b/include/fulmarjunction/serving/context_codec.hpp
@@ -48,6 +48,10 @@
 /// nobody outside the fleet can set one.
 void strip_internal_fields(header_fields& fields);
 
+/// Removes what a caller or a backend server may not send on: the fields
+/// between nodes, those by which nodes speak to the outside, and the key.
+void strip_outside_fields(header_fields& fields);
+
 /// Makes an answer that says that, and why, a node did not pass on an
 /// answer of a backend server.
 streamed_response refusal_answer(const refusal& why, answer_notes notes);
--- a/include/fulmarjunction/settings/settings.hpp
+++ b/include/fulmarjunction/settings/settings.hpp
@@ -7,6 +7,7 @@
 #include <fulmarjunction/core/log.hpp>
 #include <fulmarjunction/core/names.hpp>
 #include <fulmarjunction/core/time.hpp>
+#include <fulmarjunction/replica/freshness.hpp>
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -19,16 +20,6 @@
 
 namespace fulmarjunction {
 
-/// When a node whose copy of the table is not fresh serves keyed requests.
-enum class serve_rule
-{
-    all_zones_report_outage,
-    majority_of_zones,
-    always
-};
-std::string_view to_string(serve_rule value);
-std::optional<serve_rule> parse_serve_rule(std::string_view name);
-
 /// Files of the callers' TLS; both or neither are set.
 struct tls_settings
 {
@@ -83,7 +74,8 @@
 struct freshness_group
 {
     milliseconds limit{4000};
-    serve_rule serve_when = serve_rule::all_zones_report_outage;
+    fulmarjunction::serve_when serve_when =
+        fulmarjunction::serve_when::all_zones_report_outage;
 };
 
 struct rate_group
--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -1,6 +1,6 @@
 #include "control.hpp"
 
-#include "node_state.hpp"
+#include <fulmarjunction/core/address.hpp>
 
 namespace fulmarjunction {
 
@@ -25,7 +25,7 @@
         co_return body.error();
     if (answer.value().status != 200) {
         co_return fail(
-            errc::malformed, "control " + name, to_text(to.address),
+            errc::malformed, "control " + name, format_address(to.address),
             body.value());
     }
     co_return std::move(body.value());
--- a/src/daemon/gossip.cpp
+++ b/src/daemon/gossip.cpp
@@ -62,14 +62,14 @@
     }
     const auto learned =
         state_.members.probe_answered(order.to, answer.value(), sent, now);
-    const auto address = parse_endpoint(order.address);
+    const auto address = parse_address(order.address);
     learn(peer_address{answer.value().from, address.value()}, learned);
 }
 
 awaitable<result<std::string>>
 gossip::exchange_probe(const probe_order& order, time_point sent)
 {
-    const auto address = parse_endpoint(order.address);
+    const auto address = parse_address(order.address);
     if (!address)
         co_return fail(errc::invalid_argument, "probe", order.address);
     peer_address to;
@@ -97,7 +97,7 @@
 
 awaitable<void> gossip::send_leave(leave_order order)
 {
-    const auto address = parse_endpoint(order.address);
+    const auto address = parse_address(order.address);
     if (!address)
         co_return;
     const peer_address to{order.to, *address};
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -203,7 +203,7 @@
 {
     BOOST_OUTCOME_TRY(auto bound, server->listen(address));
     log(log_level::info, "listening",
-        {{"role", role}, {"address", to_text(bound)}});
+        {{"role", role}, {"address", format_address(bound)}});
     return bound;
 }
 
@@ -217,7 +217,7 @@
         std::make_unique<peer_client>(executor_, identity_, peer_limits{});
     BOOST_OUTCOME_TRY(auto peers, peer_server_->listen(settings_.peers.listen));
     log(log_level::info, "listening",
-        {{"role", "peers"}, {"address", to_text(peers)}});
+        {{"role", "peers"}, {"address", format_address(peers)}});
     operator_server_ = std::make_unique<http_server>(
         executor_, http_limits{},
         [this](http_request request) {
@@ -234,8 +234,9 @@
     instance_record self;
     self.name = settings_.name;
     self.life = identity_.life;
-    self.peer_address = to_text(settings_.peers.advertise.value_or(peers));
-    self.operator_address = to_text(operators_at);
+    self.peer_address =
+        format_address(settings_.peers.advertise.value_or(peers));
+    self.operator_address = format_address(operators_at);
     self.zone = settings_.availability_zone;
     self.region = settings_.region;
     self.lease = settings_.rates.lease;
--- a/src/daemon/node_state.cpp
+++ b/src/daemon/node_state.cpp
@@ -5,10 +5,8 @@
 #include <fulmarjunction/core/log.hpp>
 
 #include <boost/json.hpp>
-#include <fmt/format.h>
 #include <sodium.h>
 
-#include <charconv>
 #include <random>
 
 namespace fulmarjunction {
@@ -18,23 +16,9 @@
 constexpr std::string_view share_prefix = "shares/";
 constexpr std::string_view handover_prefix = "handover/";
 
-serve_when to_serve_when(serve_rule rule)
-{
-    switch (rule) {
-    case serve_rule::majority_of_zones:
-        return serve_when::majority_of_zones;
-    case serve_rule::always:
-        return serve_when::always;
-    case serve_rule::all_zones_report_outage:
-        break;
-    }
-    return serve_when::all_zones_report_outage;
-}
-
 freshness_settings to_freshness(const node_settings& settings)
 {
-    return {
-        settings.freshness.limit, to_serve_when(settings.freshness.serve_when)};
+    return {settings.freshness.limit, settings.freshness.serve_when};
 }
 
 membership_settings to_membership(const node_settings& settings)
@@ -70,28 +54,6 @@
     return [engine = std::mt19937_64(seed)]() mutable { return engine(); };
 }
 
-std::optional<boost::asio::ip::tcp::endpoint>
-parse_endpoint(std::string_view text)
-{
-    const auto colon = text.rfind(':');
-    if (colon == std::string_view::npos)
-        return std::nullopt;
-    boost::system::error_code problem;
-    const auto address = boost::asio::ip::make_address(
-        std::string(text.substr(0, colon)), problem);
-    std::uint16_t port = 0;
-    const char* const end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
-    if (problem || parsed.ec != std::errc() || parsed.ptr != end)
-        return std::nullopt;
-    return boost::asio::ip::tcp::endpoint(address, port);
-}
-
-std::string to_text(const boost::asio::ip::tcp::endpoint& address)
-{
-    return fmt::format("{}:{}", address.address().to_string(), address.port());
-}
-
 node_state::node_state(
     const node_settings& given, const node_secrets& secrets,
     instance_record record, time_point now)
@@ -114,7 +76,7 @@
         members_changed_ = true;
     });
     for (const auto& seed : given.peers.seeds)
-        members.add_seed(to_text(seed));
+        members.add_seed(format_address(seed));
     attach_suspects();
 }
 
@@ -232,7 +194,7 @@
 
 std::optional<peer_address> node_state::locate(const instance_name& name) const
 {
-    const auto address = parse_endpoint(members.address_of(name));
+    const auto address = parse_address(members.address_of(name));
     if (!address)
         return std::nullopt;
     return peer_address{name, *address};
--- a/src/daemon/node_state.hpp
+++ b/src/daemon/node_state.hpp
@@ -4,6 +4,7 @@
 
 #include <fulmarjunction/admission/endpoint_levels.hpp>
 #include <fulmarjunction/catalog/catalog.hpp>
+#include <fulmarjunction/core/address.hpp>
 #include <fulmarjunction/core/timer_service.hpp>
 #include <fulmarjunction/membership/membership.hpp>
 #include <fulmarjunction/membership/own_row.hpp>
@@ -96,13 +97,6 @@
     bool members_changed_ = true;
 };
 
-/// Reads `ip:port`.
-std::optional<boost::asio::ip::tcp::endpoint>
-parse_endpoint(std::string_view text);
-
-/// Returns `ip:port`.
-std::string to_text(const boost::asio::ip::tcp::endpoint& address);
-
 /// Returns a generator of uniform 64-bit numbers with a random seed.
 std::function<std::uint64_t()> make_random();
 
--- a/src/serving/backend_gate.cpp
+++ b/src/serving/backend_gate.cpp
@@ -35,15 +35,6 @@
         priority_of(context.rank, context.root)};
 }
 
-/// Removes the fields by which nodes speak to callers: a backend server must
-/// not be able to state an outcome.
-void strip_node_fields(header_fields& fields)
-{
-    std::erase_if(fields, [](const header_field& field) {
-        return field.name.starts_with("fulmar-");
-    });
-}
-
 bool refused_before_running(const streamed_response& response)
 {
     return response.status == 503 &&
@@ -311,11 +302,7 @@
             {outcome::not_run, refusal_reason::deadline_expired, 0},
             notes_of(guard->request()));
     }
-    strip_internal_fields(request.headers);
-    for (const auto* name :
-         {"fulmar-parent", "fulmar-timeout-ms", "fulmar-account",
-          "fulmar-not-run", "authorization"})
-        remove_header(request.headers, name);
+    strip_outside_fields(request.headers);
     request.headers.push_back({"fulmar-parent", guard->token()});
     request.headers.push_back({"fulmar-timeout-ms", std::to_string(left)});
     request.headers.push_back(
@@ -340,8 +327,8 @@
     levels_.ended(
         root_of(guard->request().context), guard->request().below,
         clock::now());
-    strip_internal_fields(answer.headers);
-    strip_node_fields(answer.headers);
+    // A backend server must not be able to state an outcome.
+    strip_outside_fields(answer.headers);
     write_notes(answer.headers, notes_of(guard->request()));
     auto limited = with_idle_limit(
         std::move(answer.body), executor_, body_idle_limit, "backend");
--- a/src/serving/context_codec.cpp
+++ b/src/serving/context_codec.cpp
@@ -219,6 +219,15 @@
     });
 }
 
+void strip_outside_fields(header_fields& fields)
+{
+    strip_internal_fields(fields);
+    std::erase_if(fields, [](const header_field& field) {
+        return field.name == "authorization" ||
+               field.name.starts_with("fulmar-");
+    });
+}
+
 streamed_response refusal_answer(const refusal& why, answer_notes notes)
 {
     notes.what = why.what;
--- a/src/serving/egress.cpp
+++ b/src/serving/egress.cpp
@@ -1,9 +1,9 @@
+#include <fulmarjunction/core/address.hpp>
 #include <fulmarjunction/serving/egress.hpp>
 
 #include <boost/json.hpp>
 
 #include <algorithm>
-#include <charconv>
 
 namespace fulmarjunction {
 
@@ -24,27 +24,6 @@
     return fail(errc::malformed, "read announcement", {}, std::move(field));
 }
 
-result<boost::asio::ip::tcp::endpoint> parse_address(std::string_view text)
-{
-    const auto colon = text.rfind(':');
-    if (colon == std::string_view::npos)
-        return bad_announcement("address");
-    boost::system::error_code problem;
-    const auto address = boost::asio::ip::make_address(
-        std::string(text.substr(0, colon)), problem);
-    if (problem)
-        return bad_announcement("address");
-    unsigned port = 0;
-    const auto digits = text.substr(colon + 1);
-    const auto parsed =
-        std::from_chars(digits.data(), digits.data() + digits.size(), port);
-    const bool is_whole = parsed.ptr == digits.data() + digits.size();
-    if (parsed.ec != std::errc() || !is_whole || port == 0 || port > 65535)
-        return bad_announcement("address");
-    return boost::asio::ip::tcp::endpoint(
-        address, static_cast<std::uint16_t>(port));
-}
-
 } // namespace
 
 result<backend_report> parse_announcement(std::string_view text)
@@ -67,8 +46,10 @@
         return bad_announcement("slots");
     backend_report announcement;
     announcement.service = std::string(service->get_string());
-    BOOST_OUTCOME_TRY(
-        announcement.address, parse_address(address->get_string()));
+    const auto at = parse_address(address->get_string());
+    if (!at || at->port() == 0)
+        return bad_announcement("address");
+    announcement.address = *at;
     announcement.slots = static_cast<std::size_t>(slots->get_int64());
     if (const auto* load = fields->if_contains("load")) {
         if (!load->is_number())
@@ -197,11 +178,7 @@
     call.method = std::move(message.method);
     call.target = std::move(message.target);
     call.headers = std::move(message.headers);
-    strip_internal_fields(call.headers);
-    std::erase_if(call.headers, [](const header_field& field) {
-        return field.name == "authorization" ||
-               field.name.starts_with("fulmar-");
-    });
+    strip_outside_fields(call.headers);
     call.content_length = message.content_length;
     call.body = std::move(body.value());
 
--- a/src/serving/entry.cpp
+++ b/src/serving/entry.cpp
@@ -80,16 +80,6 @@
     return std::min(longest, milliseconds(value));
 }
 
-/// Removes the fields that only a node may set, and the caller's key.
-void strip_caller_fields(header_fields& headers)
-{
-    strip_internal_fields(headers);
-    std::erase_if(headers, [](const header_field& field) {
-        return field.name == "authorization" ||
-               field.name.starts_with("fulmar-");
-    });
-}
-
 } // namespace
 
 void serving_counters::count(const std::optional<refusal>& why)
@@ -269,7 +259,7 @@
     call.method = std::move(message.method);
     call.target = std::move(message.target);
     call.headers = std::move(message.headers);
-    strip_caller_fields(call.headers);
+    strip_outside_fields(call.headers);
     call.content_length = message.content_length;
     call.body = std::move(body.value());
     co_return call;
--- a/src/settings/definitions.cpp
+++ b/src/settings/definitions.cpp
@@ -14,10 +14,10 @@
 
 namespace {
 
-constexpr auto serve_rule_names = make_enum_table<serve_rule>({
-    {serve_rule::all_zones_report_outage, "all_zones_report_outage"},
-    {serve_rule::majority_of_zones, "majority_of_zones"},
-    {serve_rule::always, "always"},
+constexpr auto serve_when_names = make_enum_table<serve_when>({
+    {serve_when::all_zones_report_outage, "all_zones_report_outage"},
+    {serve_when::majority_of_zones, "majority_of_zones"},
+    {serve_when::always, "always"},
 });
 
 constexpr auto level_names = make_enum_table<log_level>({
@@ -29,16 +29,6 @@
 
 } // namespace
 
-std::string_view to_string(serve_rule value)
-{
-    return serve_rule_names.name(value);
-}
-
-std::optional<serve_rule> parse_serve_rule(std::string_view name)
-{
-    return serve_rule_names.value(name);
-}
-
 namespace detail {
 
 namespace {
@@ -403,7 +393,7 @@
     all.push_back(choice(
         {"freshness.serve_when",
          "When a node whose copy is not fresh serves keyed requests."},
-        serve_rule_names,
+        serve_when_names,
         [](settings_type & s) -> auto& { return s.freshness.serve_when; }));
     all.push_back(whole(
         {"readers_per_zone",
