--- a/src/process/poison_request_test.cpp
+++ b/src/process/poison_request_test.cpp
@@ -57,6 +57,7 @@
         const auto some = restart_crashed(all);
         crashes.insert(crashes.end(), some.begin(), some.end());
         std::vector<fixture::caller_request> requests;
+        requests.reserve(nodes.size());
         for (const auto* node : nodes)
             requests.push_back({node->callers, "GET", "/notes/fine", key});
         for (const auto& answer : all.outside().send_all(requests)) {
