Send a response's head and its first bytes in one write

Ruled out: reading without waiting first (one failed recv in place of one epoll_ctl, no gain), trusting a kept connection for 100 ms (the tests of dead kept connections fail, rightly).

Change: head and first piece of a body of known length go out together, so do frames of one turn of the event loop; the kernel is asked for waiting bytes only during a shutdown, and once for a peer's end.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -292,12 +292,13 @@
         const auto until = current.exchanges.empty()
                                ? since + limits_.keep_alive_timeout
                                : time_point::max();
+        if (link.has_ended() || !link.is_open() || clock::now() >= until ||
+            current.closing)
+            co_return false;
         // During a shutdown a request that has reached this host is still
         // answered.
         boost::system::error_code ignored;
-        const bool has_bytes = link.stream().socket().available(ignored) > 0;
-        if (link.has_ended() || !link.is_open() || clock::now() >= until ||
-            current.closing || (stopping_ && !has_bytes))
+        if (stopping_ && link.stream().socket().available(ignored) == 0)
             co_return false;
         co_await link.wait_input(until);
     }
@@ -487,17 +488,17 @@
         framing = body_framing::content_length;
         text = detail::format_response_head(response, framing, keep_alive);
     }
-    const auto sent =
-        co_await link.write(asio::buffer(*text), limits_.idle_timeout);
-    if (sent.failure)
-        co_return false;
-    if (framing == body_framing::none || head.method == "HEAD")
-        co_return keep_alive;
+    if (framing == body_framing::none || head.method == "HEAD") {
+        const auto sent =
+            co_await link.write(asio::buffer(*text), limits_.idle_timeout);
+        co_return !sent.failure && keep_alive;
+    }
     if (!response.body)
         response.body = empty_body();
     const auto done = co_await detail::write_body(
         current.link, std::move(response.body), framing,
-        response.content_length.value_or(0), limits_.idle_timeout);
+        response.content_length.value_or(0), limits_.idle_timeout,
+        std::move(*text));
     if (!done) {
         // A reset keeps the caller from taking the part for the whole.
         link.abort();
--- a/src/mesh/mesh_nodes_test.cpp
+++ b/src/mesh/mesh_nodes_test.cpp
@@ -498,6 +498,10 @@
     const auto send_all = [&]() -> fj::awaitable<int> {
         int served = 0;
         for (int i = 0; i < 2000; ++i) {
+            if (i % 100 == 0) {
+                for (const auto& one : fleet.machines)
+                    one->beat();
+            }
             fj::streamed_request request;
             request.method = "GET";
             request.target = "/books/1";
--- a/src/peer/client.cpp
+++ b/src/peer/client.cpp
@@ -170,7 +170,8 @@
 {
     auto& entry = links_[address];
     const bool usable =
-        entry && (!entry->session || entry->session->accepts_streams());
+        entry && (!entry->session || (entry->session->accepts_streams() &&
+                                      !entry->session->is_peer_gone()));
     if (usable) {
         entry->last_used = clock::now();
         return entry;
--- a/src/peer/session.cpp
+++ b/src/peer/session.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include <nghttp2/nghttp2.h>
 
@@ -466,6 +467,9 @@
             if (!self->has_work())
                 break;
             co_await self->output_ready_.wait();
+            // What else becomes ready in this turn of the event loop, such as
+            // the body behind a head, goes out in the same write.
+            co_await asio::post(self->executor(), asio::use_awaitable);
             continue;
         }
         asio::const_buffer rest = asio::buffer(output);
@@ -578,12 +582,17 @@
     flush();
 }
 
-bool peer_session::accepts_streams()
+bool peer_session::accepts_streams() const
 {
-    return open_ && !goaway_ && !stream_.is_peer_gone() &&
+    return open_ && !goaway_ &&
            nghttp2_session_check_request_allowed(session_) != 0;
 }
 
+bool peer_session::is_peer_gone()
+{
+    return stream_.is_peer_gone();
+}
+
 void peer_session::reset(const stream_ptr& target, std::uint32_t code)
 {
     if (target->closed || !open_)
--- a/src/peer/session.hpp
+++ b/src/peer/session.hpp
@@ -128,9 +128,11 @@
     void close();
 
     bool is_open() const { return open_; }
-    /// Whether new streams can be opened; asks the kernel whether the peer
-    /// has closed, so that a request rarely meets a dead connection.
-    bool accepts_streams();
+    /// Whether new streams can be opened, as far as has been read.
+    bool accepts_streams() const;
+    /// Whether the kernel knows that the peer has closed, before that is
+    /// read: a request then rarely meets a dead connection.
+    bool is_peer_gone();
     std::size_t stream_count() const { return streams_.size(); }
     const std::string& peer_name() const { return peer_name_; }
     const peer_limits& limits() const { return limits_; }
