Shed requests at the entry that a service further down has no room for (trial)

Cause: calls beyond the slots of the last service fail the requests above them after those have used slots on the way. A gate now reports how far its calls exceed its room; the entries learn which routes lead there from requests that fail within 10 ms of a refused call, and refuse the least important of them.

--- a/include/fulmarjunction/fleet/fleet_view.hpp
+++ b/include/fulmarjunction/fleet/fleet_view.hpp
@@ -51,6 +51,9 @@
     /// Requests to backend servers that one run here leads to, itself
     /// included.
     double run_cost = 1;
+    /// How far calls exceed the room of the backend server; see
+    /// `call_pressure`.
+    double pressure = 0;
 };
 
 /// Formats a report for the wire between nodes.
--- a/include/fulmarjunction/mesh/call_context.hpp
+++ b/include/fulmarjunction/mesh/call_context.hpp
@@ -111,6 +111,13 @@
 /// Takes the own answer out of an answer between nodes, if it is one.
 std::optional<own_answer> take_own_answer(header_fields& fields);
 
+/// Notes in an answer between nodes that the request failed since a call of
+/// it found no room at a service; nothing when the name is empty.
+void write_refused_below(header_fields& fields, const service_name& service);
+
+/// Takes that service out of an answer; empty when there is none.
+service_name take_refused_below(header_fields& fields);
+
 void write_load(header_fields& fields, const gate_load& load);
 std::optional<gate_load> take_load(header_fields& fields);
 
--- a/include/fulmarjunction/mesh/caller_entry.hpp
+++ b/include/fulmarjunction/mesh/caller_entry.hpp
@@ -2,6 +2,7 @@
 /// Takes requests from callers and from the backend server beside the node.
 #pragma once
 
+#include <fulmarjunction/gate/root_shedding.hpp>
 #include <fulmarjunction/http/http.hpp>
 #include <fulmarjunction/mesh/config_copy.hpp>
 #include <fulmarjunction/mesh/fleet_link.hpp>
@@ -30,10 +31,12 @@
         config_copy* config = nullptr;
         split_chooser* splits = nullptr;
         token_wallet* wallet = nullptr;
+        root_shedding* shedding = nullptr;
         fleet_link* fleet = nullptr;
         forwarder* calls = nullptr;
         const wire_format* format = nullptr;
         mesh_metrics* metrics = nullptr;
+        std::function<std::uint64_t()> random;
         /// Called with the service of each call of the backend server.
         std::function<void(const service_name&)> count_call;
     };
@@ -58,6 +61,8 @@
 
     std::variant<admitted, own_answer>
     admit(const streamed_request& message, const caller_claims& claims) const;
+    static unsigned priority_of(const admitted& request);
+    std::optional<own_answer> shed(const admitted& request);
     awaitable<std::optional<own_answer>>
     charge(account_plan plan, time_point deadline);
     awaitable<forward_result>
--- a/include/fulmarjunction/mesh/forwarder.hpp
+++ b/include/fulmarjunction/mesh/forwarder.hpp
@@ -56,6 +56,10 @@
         std::shared_ptr<gate_service> gate;
         /// Returns the requests that one run of a service leads to.
         std::function<double(const service_name&)> cost_of;
+        /// Called when a request has failed since a call of it found no room
+        /// at a service, and when a call itself found none.
+        std::function<void(const call_context&, const service_name& at)>
+            no_room;
         /// Called when a call could not be passed on to a node.
         std::function<void(const instance_name&, const error&)> call_failed;
     };
@@ -76,6 +80,7 @@
     try_once(forward_order& order, progress& so_far, cancel_event canceled);
     bool may_go_on(
         const forward_order& order, progress& so_far, const own_answer& why);
+    void note_refusal(const forward_order& order, const own_answer& why);
     placement_result result_of(const own_answer& why) const;
 
     parts parts_;
--- a/include/fulmarjunction/mesh/gate_service.hpp
+++ b/include/fulmarjunction/mesh/gate_service.hpp
@@ -3,6 +3,8 @@
 #pragma once
 
 #include <fulmarjunction/core/message.hpp>
+#include <fulmarjunction/gate/call_pressure.hpp>
+#include <fulmarjunction/gate/root_shedding.hpp>
 #include <fulmarjunction/gate/slot_gate.hpp>
 #include <fulmarjunction/http/http.hpp>
 #include <fulmarjunction/mesh/backend_monitor.hpp>
@@ -45,6 +47,13 @@
 
     gate_load load() const;
 
+    /// How far calls exceed the room of the backend server.
+    call_pressure& pressure() { return pressure_; }
+
+    /// Takes note that a call of the backend server beside this node was
+    /// refused, for want of room at that service.
+    void call_was_refused(const service_name& at);
+
     /// Measures what a run of the backend server costs.
     run_cost_meter& costs() { return costs_; }
     std::size_t running() const { return gate_.running(); }
@@ -57,6 +66,8 @@
     std::optional<own_answer> check_backend(const call_context& context) const;
     awaitable<std::optional<own_answer>>
     wait_for_slot(const call_context& context, cancel_event canceled);
+    void count_fate(
+        const call_context& context, duration waited, bool was_refused);
     awaitable<streamed_response>
     run(call_context context, streamed_request request, cancel_event canceled);
     streamed_response accept_answer(
@@ -74,6 +85,8 @@
     const wire_format& format_;
     mesh_metrics& metrics_;
     slot_gate gate_;
+    call_pressure pressure_;
+    refused_calls refused_calls_;
     run_cost_meter costs_;
     http_client client_;
     std::uint64_t next_id_ = 1;
--- a/src/fleet/fleet_view.cpp
+++ b/src/fleet/fleet_view.cpp
@@ -24,8 +24,8 @@
 constexpr std::size_t nodes_for_each_witness = 40;
 
 constexpr std::uint64_t max_slots = 1'000'000;
-/// Costs travel as whole hundredths.
-constexpr double cost_unit = 100;
+/// Costs and pressures travel as whole hundredths.
+constexpr double unit = 100;
 
 constexpr auto state_names = make_enum_table<backend_state>({
     {backend_state::absent, "absent"},
@@ -33,6 +33,16 @@
     {backend_state::draining, "draining"},
 });
 
+std::uint64_t to_units(double value)
+{
+    return static_cast<std::uint64_t>(value * unit);
+}
+
+double from_units(std::uint64_t value)
+{
+    return static_cast<double>(value) / unit;
+}
+
 std::uint64_t
 rendezvous_weight(const instance_name& node, const client_account& account)
 {
@@ -62,7 +72,7 @@
 std::string format_report(const node_report& report)
 {
     // Short names: reports cross availability zones all the time.
-    return json::serialize(json::object{
+    json::object text{
         {"n", report.node},
         {"l", report.life},
         {"q", report.sequence},
@@ -73,8 +83,11 @@
         {"t", to_string(report.state)},
         {"m", report.limit},
         {"b", report.load},
-        {"c", static_cast<std::uint64_t>(report.run_cost * cost_unit)},
-    });
+        {"c", to_units(report.run_cost)},
+    };
+    if (report.pressure > 0)
+        text["p"] = to_units(report.pressure);
+    return json::serialize(text);
 }
 
 result<node_report> parse_report(std::string_view text)
@@ -96,8 +109,9 @@
     report.state = state.value_or(backend_state::absent);
     report.limit = fields.number("m", max_slots);
     report.load = fields.number("b", max_slots);
-    report.run_cost =
-        static_cast<double>(fields.number("c", max_slots)) / cost_unit;
+    report.run_cost = from_units(fields.number("c", max_slots));
+    if (fields.has("p"))
+        report.pressure = from_units(fields.number("p", max_slots));
     BOOST_OUTCOME_TRY(fields.finish());
     return report;
 }
--- /dev/null
+++ b/src/gate/pressure_test.cpp
@@ -0,0 +1,148 @@
+// Which requests are kept from entering when a service further down has no
+// room for the calls that they lead to.
+
+#include <fulmarjunction/gate/call_pressure.hpp>
+#include <fulmarjunction/gate/root_shedding.hpp>
+
+#include <catch2/catch.hpp>
+
+namespace fj = fulmarjunction;
+using std::chrono::milliseconds;
+
+namespace {
+
+const fj::time_point start{std::chrono::seconds(1000)};
+
+/// Lets windows pass in which a part of the calls is refused.
+void refuse_calls(
+    fj::call_pressure& pressure, fj::time_point& now, int windows,
+    int refused_of_ten)
+{
+    for (int window = 0; window < windows; ++window) {
+        for (int call = 0; call < 100; ++call) {
+            pressure.count(
+                true, call % 10 < refused_of_ten ? fj::gate_fate::refused
+                                                 : fj::gate_fate::in_time);
+        }
+        now += milliseconds(500);
+        pressure.advance(now);
+    }
+}
+
+/// Sends requests and returns how many are refused.
+int count_refused(
+    fj::root_shedding& shedding, const std::string& route, unsigned priority,
+    int requests, fj::time_point now)
+{
+    int refused = 0;
+    for (int i = 0; i < requests; ++i)
+        refused += shedding.refuses(route, priority, now) ? 1 : 0;
+    return refused;
+}
+
+/// Shows that a route's requests fail for want of room at a service.
+void learn(
+    fj::root_shedding& shedding, const std::string& route, unsigned priority,
+    const std::string& service, fj::time_point now)
+{
+    for (int i = 0; i < 5; ++i) {
+        shedding.refuses(route, priority, now);
+        shedding.failed_below(route, priority, service, now);
+    }
+}
+
+} // namespace
+
+TEST_CASE("a gate without refused calls asks for nothing")
+{
+    fj::call_pressure pressure;
+    auto now = start;
+    refuse_calls(pressure, now, 20, 0);
+    CHECK(pressure.level() == 0);
+}
+
+TEST_CASE("refused calls raise the level, and it falls when they end")
+{
+    fj::call_pressure pressure;
+    auto now = start;
+    refuse_calls(pressure, now, 1, 2);
+    CHECK(pressure.level() == Approx(0.2));
+    // What has been asked for is not yet in effect, so nothing is added.
+    refuse_calls(pressure, now, 2, 2);
+    CHECK(pressure.level() == Approx(0.2));
+    refuse_calls(pressure, now, 1, 2);
+    CHECK(pressure.level() == Approx(0.4));
+    refuse_calls(pressure, now, 20, 0);
+    CHECK(pressure.level() == 0);
+}
+
+TEST_CASE("new work that calls leave no room for raises the level too")
+{
+    fj::call_pressure pressure;
+    for (int i = 0; i < 10; ++i) {
+        pressure.count(true, fj::gate_fate::in_time);
+        pressure.count(
+            false,
+            i < 8 ? fj::gate_fate::refused : fj::gate_fate::in_time);
+    }
+    CHECK(pressure.advance(start));
+    CHECK(pressure.level() > 0);
+}
+
+TEST_CASE("without calls refused new work asks nobody else for less")
+{
+    fj::call_pressure pressure;
+    for (int i = 0; i < 10; ++i)
+        pressure.count(false, fj::gate_fate::refused);
+    CHECK_FALSE(pressure.advance(start));
+    CHECK(pressure.level() == 0);
+}
+
+TEST_CASE("the levels of a service's gates are averaged")
+{
+    fj::pressure_summary summary;
+    summary.add("stock", 0.6);
+    summary.add("stock", 0);
+    summary.add("shop", 0);
+    const auto levels = summary.combine();
+    CHECK(levels.at("stock") == Approx(0.3));
+    CHECK_FALSE(levels.contains("shop"));
+}
+
+TEST_CASE("the least important requests that lead to a full service go first")
+{
+    fj::root_shedding shedding;
+    learn(shedding, "lookup", 2, "stock", start);
+    learn(shedding, "booking", 0, "stock", start);
+    shedding.refuses("export", 2, start);
+    shedding.set_levels({{"stock", 0.25}});
+    CHECK(count_refused(shedding, "lookup", 2, 100, start) == 25);
+    CHECK(count_refused(shedding, "booking", 0, 100, start) == 0);
+    CHECK(count_refused(shedding, "export", 2, 100, start) == 0);
+    shedding.set_levels({{"stock", 1.5}});
+    // Some are let in to show when there is room again.
+    CHECK(count_refused(shedding, "lookup", 2, 100, start) == 80);
+    CHECK(count_refused(shedding, "booking", 0, 100, start) == 50);
+    shedding.set_levels({});
+    CHECK(count_refused(shedding, "lookup", 2, 100, start) == 0);
+}
+
+TEST_CASE("a few failures among many requests teach nothing")
+{
+    fj::root_shedding shedding;
+    for (int i = 0; i < 500; ++i)
+        shedding.refuses("export", 2, start);
+    for (int i = 0; i < 5; ++i)
+        shedding.failed_below("export", 2, "stock", start);
+    shedding.set_levels({{"stock", 1}});
+    CHECK(count_refused(shedding, "export", 2, 100, start) == 0);
+}
+
+TEST_CASE("a refused call is remembered for a moment only")
+{
+    fj::refused_calls refused;
+    CHECK(refused.recent(start).empty());
+    refused.note("stock", start);
+    CHECK(refused.recent(start + milliseconds(5)) == "stock");
+    CHECK(refused.recent(start + milliseconds(50)).empty());
+}
--- a/src/mesh/call_context.cpp
+++ b/src/mesh/call_context.cpp
@@ -17,6 +17,7 @@
 constexpr std::string_view backend_field = "fj-i";
 constexpr std::string_view outcome_field = "fj-o";
 constexpr std::string_view load_field = "fj-l";
+constexpr std::string_view refused_below_field = "fj-b";
 constexpr char separator = ';';
 
 constexpr int hop_status = 503;
@@ -183,6 +184,18 @@
     return answer;
 }
 
+void write_refused_below(header_fields& fields, const service_name& service)
+{
+    remove_header(fields, refused_below_field);
+    if (!service.empty())
+        fields.push_back({std::string(refused_below_field), service});
+}
+
+service_name take_refused_below(header_fields& fields)
+{
+    return take_field(fields, refused_below_field).value_or("");
+}
+
 void write_load(header_fields& fields, const gate_load& load)
 {
     fields.push_back(
--- a/src/mesh/caller_entry.cpp
+++ b/src/mesh/caller_entry.cpp
@@ -24,6 +24,12 @@
 constexpr milliseconds return_without_ledger(300);
 constexpr milliseconds shortest_rate_return(200);
 
+/// When a request may come again that a service further down has no room
+/// for: not all at once, and not before the nodes have seen what the refusals
+/// changed.
+constexpr milliseconds return_when_shed(1000);
+constexpr milliseconds return_spread(1000);
+
 constexpr int status_bad_request = 400;
 constexpr int status_unauthorized = 401;
 constexpr int status_not_found = 404;
@@ -175,6 +181,28 @@
         std::max<duration>(got.grant.next_in, shortest_rate_return));
 }
 
+unsigned caller_entry::priority_of(const admitted& request)
+{
+    const auto of_route = request.where->priority;
+    return request.plan == nullptr ? of_route
+                                   : request.plan->priority.value_or(of_route);
+}
+
+/// Refuses a request of a client that services further down have no room
+/// for; calls belong to requests that have begun.
+std::optional<own_answer> caller_entry::shed(const admitted& request)
+{
+    if (request.plan == nullptr ||
+        !parts_.shedding->refuses(
+            request.where->name, priority_of(request), clock::now()))
+        return std::nullopt;
+    const auto spread = static_cast<std::int64_t>(
+        parts_.random() % static_cast<std::uint64_t>(return_spread.count()));
+    return not_run(
+        node_refusal::overloaded_below,
+        return_when_shed + milliseconds(spread));
+}
+
 awaitable<result<request_body>>
 caller_entry::read_request_body(streamed_request& message, std::size_t limit)
 {
@@ -193,6 +221,8 @@
         where.timeout, claims.time_limit.value_or(milliseconds::max()));
     const auto arrived_at = clock::now();
     const auto deadline = arrived_at + limit;
+    if (const auto refused = shed(request))
+        co_return *refused;
     const cancel_event canceled(executor_);
     incoming.on_cancel([canceled] { canceled.cancel(); });
     if (request.plan != nullptr) {
@@ -212,15 +242,12 @@
     order.context.route_name = where.name;
     order.context.kind = where.kind;
     order.context.is_call = request.plan == nullptr;
-    order.context.priority = where.priority;
+    order.context.priority = priority_of(request);
     order.context.objective = where.objective;
     order.context.deadline = deadline;
     order.context.caller_service = parts_.own_service;
-    if (request.plan != nullptr) {
+    if (request.plan != nullptr)
         order.context.account = request.plan->name;
-        order.context.priority =
-            request.plan->priority.value_or(where.priority);
-    }
     order.service = parts_.splits->choose(where);
     order.arrived_at = arrived_at;
     if (order.context.is_call)
--- a/src/mesh/forwarder.cpp
+++ b/src/mesh/forwarder.cpp
@@ -112,6 +112,14 @@
            parts_.budget->spend(order.service, cost, clock::now());
 }
 
+/// A call that finds no room makes the request fail that it belongs to; any
+/// other request is refused in time by the gate itself.
+void forwarder::note_refusal(const forward_order& order, const own_answer& why)
+{
+    if (order.context.is_call && why.reason == node_refusal::overloaded)
+        parts_.no_room(order.context, order.service);
+}
+
 awaitable<std::optional<forward_result>> forwarder::try_once(
     forward_order& order, progress& so_far, cancel_event canceled)
 {
@@ -119,8 +127,10 @@
     const auto chosen = parts_.places->choose(
         order.service, route, order.context.objective, so_far.tried,
         clock::now());
-    if (!chosen)
+    if (!chosen) {
+        note_refusal(order, so_far.last);
         co_return forward_result(so_far.last);
+    }
     so_far.tried.push_back(chosen->node);
     const auto sent_at = clock::now();
     auto answer = co_await send(*chosen, order, canceled);
@@ -150,6 +160,9 @@
         load ? std::optional<std::size_t>(load->load) : std::nullopt, now);
     so_far.arrivals += is_backend_answer || why.reached_backend ? 1 : 0;
     if (is_backend_answer) {
+        const auto full_service = take_refused_below(answer.value().headers);
+        if (!full_service.empty())
+            parts_.no_room(order.context, full_service);
         so_far.not_run = false;
         own_answer failed{node_refusal::broken, false, true, std::nullopt};
         const bool is_worth_repeating =
@@ -161,8 +174,10 @@
         so_far.not_run = so_far.not_run && why.not_run;
         so_far.last = why;
         so_far.last.not_run = so_far.not_run;
-        if (!may_go_on(order, so_far, why))
+        if (!may_go_on(order, so_far, why)) {
+            note_refusal(order, why);
             co_return forward_result(so_far.last);
+        }
     }
     parts_.metrics->sent_on(why.reason);
     log(log_level::info, "retry",
--- a/src/mesh/gate_service.cpp
+++ b/src/mesh/gate_service.cpp
@@ -24,6 +24,12 @@
 /// Statuses by which a request counts as not run.
 constexpr std::array promising_statuses = {408, 421, 429, 503};
 
+/// Part of the time left at its arrival after which a request that waits for
+/// a slot counts as delayed.
+constexpr double long_wait_share = 0.1;
+
+constexpr int first_server_error = 500;
+
 /// Shortest time after which a refused caller is asked to come again.
 constexpr milliseconds shortest_return(200);
 
@@ -210,6 +216,23 @@
     co_return overloaded;
 }
 
+void gate_service::call_was_refused(const service_name& at)
+{
+    refused_calls_.note(at, clock::now());
+}
+
+void gate_service::count_fate(
+    const call_context& context, duration waited, bool was_refused)
+{
+    const auto left = to_seconds(context.deadline - clock::now() + waited);
+    auto fate = gate_fate::in_time;
+    if (was_refused)
+        fate = gate_fate::refused;
+    else if (to_seconds(waited) > left * long_wait_share)
+        fate = gate_fate::delayed;
+    pressure_.count(context.is_call, fate);
+}
+
 awaitable<streamed_response> gate_service::serve(
     call_context context, streamed_request request, cancel_event canceled)
 {
@@ -217,7 +240,10 @@
         co_return refuse(context, *why);
     const auto arrived_at = clock::now();
     const auto refused = co_await wait_for_slot(context, canceled);
-    metrics_.waited_at_gate(clock::now() - arrived_at);
+    const auto waited = clock::now() - arrived_at;
+    metrics_.waited_at_gate(waited);
+    if (!canceled.is_canceled())
+        count_fate(context, waited, refused.has_value());
     if (refused)
         co_return refuse(context, *refused);
     co_return co_await run(
@@ -256,6 +282,9 @@
         return refuse(
             context, {node_refusal::bad_answer, false, true, std::nullopt});
     write_load(answer.headers, load());
+    if (answer.status >= first_server_error)
+        write_refused_below(
+            answer.headers, refused_calls_.recent(clock::now()));
     answer.body = with_end_hook(
         std::move(answer.body), [held = std::move(held)](bool is_complete) {
             if (is_complete)
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -100,6 +100,8 @@
     void refresh_targets();
     void backend_changed();
     void refresh_costs();
+    void refresh_shedding();
+    void no_room_below(const call_context& request, const service_name& at);
     double cost_of(const service_name& service) const;
     bool is_ready() const;
 
@@ -134,6 +136,7 @@
     account_ledger ledger_;
     token_wallet wallet_;
     split_chooser splits_;
+    root_shedding shedding_;
 
     std::shared_ptr<gate_service> gate_;
     std::unique_ptr<peer_client> peer_client_;
@@ -191,6 +194,7 @@
     report.limit = load.limit;
     report.load = load.load;
     report.run_cost = gate_->costs().cost();
+    report.pressure = gate_->pressure().level();
     return report;
 }
 
@@ -244,6 +248,40 @@
     }
 }
 
+/// Takes over what the gates of all nodes ask for; says so at once when the
+/// own gate asks for more.
+void mesh_node::impl::refresh_shedding()
+{
+    auto& pressure = gate_->pressure();
+    const bool has_risen = pressure.advance(clock::now());
+    pressure_summary summary;
+    summary.add(settings_.service, pressure.level());
+    for (const auto& [name, member] : fleet_.members()) {
+        if (member.is_reachable)
+            summary.add(member.report.service, member.report.pressure);
+    }
+    shedding_.set_levels(summary.combine());
+    if (!has_risen)
+        return;
+    log(log_level::info, "pressure_raised",
+        {{"level", pressure.level()},
+         {"running", gate_->running()},
+         {"waiting", gate_->waiting()},
+         {"limit", gate_->load().limit}});
+    if (link_)
+        link_->announce();
+}
+
+void mesh_node::impl::no_room_below(
+    const call_context& request, const service_name& at)
+{
+    if (request.is_call)
+        gate_->call_was_refused(at);
+    else
+        shedding_.failed_below(
+            request.route_name, request.priority, at, clock::now());
+}
+
 double mesh_node::impl::cost_of(const service_name& service) const
 {
     const auto found = service_costs_.find(service);
@@ -319,6 +357,7 @@
     subscriptions_.push_back(timers_.every(
         tick_period, [this, action = std::move(tick_action)](time_point) {
             refresh_costs();
+            refresh_shedding();
             if (has_joined_ && !stopping_)
                 follower_->check_age();
             if (action)
@@ -369,6 +408,10 @@
     calls.cost_of = [this](const service_name& service) {
         return cost_of(service);
     };
+    calls.no_room = [this](
+                        const call_context& request, const service_name& at) {
+        no_room_below(request, at);
+    };
     calls.call_failed = [this](const instance_name& node, const error& why) {
         link_->call_failed(node, why);
     };
@@ -383,6 +426,8 @@
     entry.calls = forwarder_.get();
     entry.format = &adapter_.format;
     entry.metrics = &metrics_;
+    entry.shedding = &shedding_;
+    entry.random = random_numbers();
     entry.count_call = [this](const service_name& service) {
         gate_->costs().count_call(cost_of(service));
     };
