--- a/include/fulmarjunction/fleet/fleet_view.hpp
+++ b/include/fulmarjunction/fleet/fleet_view.hpp
@@ -111,6 +111,7 @@
     /// Forgets nodes that have been gone for long.
     void expire(time_point now);
 
+    const instance_name& self() const { return self_; }
     const fleet_member* find(const instance_name& node) const;
     const std::map<instance_name, fleet_member>& members() const
     {
--- a/src/mesh/fleet_link.cpp
+++ b/src/mesh/fleet_link.cpp
@@ -81,7 +81,7 @@
 {
     if (with.is_busy || now < with.next_at)
         return false;
-    const bool is_ours = parts_.own_report().node < member.report.node;
+    const bool is_ours = parts_.fleet->self() < member.report.node;
     const bool is_overdue = now - member.heard_at >= patient_periods * period();
     return is_ours || is_witness || is_overdue || !member.is_reachable;
 }
--- /dev/null
+++ b/src/mesh/fleet_reports.cpp
@@ -0,0 +1,120 @@
+#include "fleet_reports.hpp"
+
+#include <fulmarjunction/core/address.hpp>
+#include <fulmarjunction/core/log.hpp>
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace fulmarjunction {
+
+fleet_reports::fleet_reports(
+    boost::asio::any_io_executor executor, parts wiring, incarnation life)
+    : executor_(std::move(executor)), parts_(std::move(wiring)), life_(life)
+{
+}
+
+node_report fleet_reports::own_report()
+{
+    node_report report;
+    report.node = parts_.settings->name;
+    report.life = life_;
+    report.sequence = ++reports_;
+    report.peer_address = format_address(parts_.settings->peers);
+    report.zone = parts_.settings->zone;
+    report.service = parts_.settings->service;
+    report.backend_id = parts_.monitor->id();
+    report.state = parts_.is_stopping() ? backend_state::absent
+                                        : parts_.monitor->state(clock::now());
+    const auto load = parts_.gate->load();
+    report.limit = load.limit;
+    report.load = load.load;
+    report.run_cost = parts_.gate->costs().cost();
+    report.pressure = parts_.gate->pressure().level();
+    return report;
+}
+
+void fleet_reports::refresh_targets()
+{
+    if (std::exchange(refresh_is_due_, true))
+        return;
+    boost::asio::post(executor_, [this] {
+        refresh_is_due_ = false;
+        set_targets();
+    });
+}
+
+void fleet_reports::set_targets()
+{
+    std::multimap<service_name, placement_target> targets;
+    const auto add = [&](const node_report& report) {
+        if (report.state != backend_state::ready)
+            return;
+        targets.emplace(
+            report.service, placement_target{
+                                report.node, report.backend_id, report.zone,
+                                report.limit, report.load});
+    };
+    add(own_report());
+    std::size_t nodes = 1;
+    for (const auto& [name, member] : parts_.fleet->members()) {
+        if (!member.is_reachable)
+            continue;
+        ++nodes;
+        add(member.report);
+    }
+    parts_.budget->set_nodes(nodes);
+    parts_.places->set_targets(targets);
+}
+
+void fleet_reports::refresh()
+{
+    refresh_costs();
+    refresh_pressure();
+}
+
+void fleet_reports::refresh_costs()
+{
+    service_costs_.clear();
+    for (const auto& [name, member] : parts_.fleet->members()) {
+        auto& cost = service_costs_[member.report.service];
+        cost = std::max(cost, member.report.run_cost);
+    }
+}
+
+double fleet_reports::cost_of(const service_name& service) const
+{
+    const auto found = service_costs_.find(service);
+    return found == service_costs_.end() ? 1 : std::max(1.0, found->second);
+}
+
+/// Takes over what the gates of all nodes ask for; says so at once when the
+/// own gate asks for more.
+void fleet_reports::refresh_pressure()
+{
+    auto& pressure = parts_.gate->pressure();
+    const auto limit = std::max<std::size_t>(1, parts_.gate->load().limit);
+    const auto usage = static_cast<double>(parts_.gate->running()) /
+                       static_cast<double>(limit);
+    const bool has_risen = pressure.advance(clock::now(), usage);
+    pressure_summary summary;
+    summary.add(parts_.settings->service, pressure.level());
+    for (const auto& [name, member] : parts_.fleet->members()) {
+        if (member.is_reachable)
+            summary.add(member.report.service, member.report.pressure);
+    }
+    parts_.shedding->set_levels(summary.combine());
+    if (!has_risen)
+        return;
+    log(log_level::info, "pressure_raised",
+        {{"level", pressure.level()},
+         {"running", parts_.gate->running()},
+         {"waiting", parts_.gate->waiting()},
+         {"limit", limit}});
+    parts_.announce();
+}
+
+} // namespace fulmarjunction
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -1,4 +1,5 @@
 #include "config_follower.hpp"
+#include "fleet_reports.hpp"
 
 #include <fulmarjunction/core/address.hpp>
 #include <fulmarjunction/core/log.hpp>
@@ -96,13 +97,8 @@
         http_server& server, const mesh_settings::address& address,
         std::string_view role);
     void wire_parts();
-    node_report own_report() const;
-    void refresh_targets();
     void backend_changed();
-    void refresh_costs();
-    void refresh_shedding();
     void no_room_below(const call_context& request, const service_name& at);
-    double cost_of(const service_name& service) const;
     bool is_ready() const;
 
     awaitable<void> drive_timers();
@@ -124,8 +120,6 @@
     mesh_adapter adapter_;
     timer_service timers_;
     asio::steady_timer wake_up_;
-    incarnation life_ = clock_incarnation();
-    mutable std::uint64_t reports_ = 0;
 
     mesh_metrics metrics_;
     config_copy config_;
@@ -142,6 +136,7 @@
     std::unique_ptr<peer_client> peer_client_;
     std::unique_ptr<peer_server> peer_server_;
     std::unique_ptr<config_follower> follower_;
+    std::unique_ptr<fleet_reports> reports_;
     std::unique_ptr<fleet_link> link_;
     std::unique_ptr<forwarder> forwarder_;
     std::unique_ptr<caller_entry> entry_;
@@ -150,10 +145,8 @@
     std::unique_ptr<http_server> heartbeat_server_;
     std::unique_ptr<http_server> metrics_server_;
     std::vector<timer_service::subscription> subscriptions_;
-    std::unordered_map<service_name, double> service_costs_;
     bool has_joined_ = false;
     bool stopping_ = false;
-    bool refresh_is_due_ = false;
 };
 
 mesh_node::impl::impl(
@@ -171,33 +164,28 @@
     gate_ = std::make_shared<gate_service>(
         executor_, settings_.backend, monitor_, adapter_.format,
         slot_gate_settings{}, metrics_);
+    fleet_reports::parts reporting;
+    reporting.settings = &settings_;
+    reporting.monitor = &monitor_;
+    reporting.gate = gate_;
+    reporting.fleet = &fleet_;
+    reporting.places = &places_;
+    reporting.budget = &budget_;
+    reporting.shedding = &shedding_;
+    reporting.is_stopping = [this] { return stopping_; };
+    reporting.announce = [this] {
+        if (link_)
+            link_->announce();
+    };
+    reports_ = std::make_unique<fleet_reports>(
+        executor_, std::move(reporting), clock_incarnation());
     monitor_.on_change = [this] { backend_changed(); };
-    fleet_.on_change = [this] { refresh_targets(); };
+    fleet_.on_change = [this] { reports_->refresh_targets(); };
     fleet_.on_report = [this](const node_report& report) {
         places_.set_load(report.node, report.load);
     };
 }
 
-node_report mesh_node::impl::own_report() const
-{
-    node_report report;
-    report.node = settings_.name;
-    report.life = life_;
-    report.sequence = ++reports_;
-    report.peer_address = format_address(settings_.peers);
-    report.zone = settings_.zone;
-    report.service = settings_.service;
-    report.backend_id = monitor_.id();
-    report.state =
-        stopping_ ? backend_state::absent : monitor_.state(clock::now());
-    const auto load = gate_->load();
-    report.limit = load.limit;
-    report.load = load.load;
-    report.run_cost = gate_->costs().cost();
-    report.pressure = gate_->pressure().level();
-    return report;
-}
-
 void mesh_node::impl::backend_changed()
 {
     const auto state = monitor_.state(clock::now());
@@ -206,71 +194,7 @@
          {"state", to_string(state)},
          {"slots", monitor_.slots()}});
     gate_->backend_changed();
-    refresh_targets();
-    if (link_)
-        link_->announce();
-}
-
-void mesh_node::impl::refresh_targets()
-{
-    if (std::exchange(refresh_is_due_, true))
-        return;
-    asio::post(executor_, [this] {
-        refresh_is_due_ = false;
-        std::multimap<service_name, placement_target> targets;
-        const auto add = [&](const node_report& report) {
-            if (report.state != backend_state::ready)
-                return;
-            targets.emplace(
-                report.service, placement_target{
-                                    report.node, report.backend_id, report.zone,
-                                    report.limit, report.load});
-        };
-        add(own_report());
-        std::size_t nodes = 1;
-        for (const auto& [name, member] : fleet_.members()) {
-            if (!member.is_reachable)
-                continue;
-            ++nodes;
-            add(member.report);
-        }
-        budget_.set_nodes(nodes);
-        places_.set_targets(targets);
-    });
-}
-
-void mesh_node::impl::refresh_costs()
-{
-    service_costs_.clear();
-    for (const auto& [name, member] : fleet_.members()) {
-        auto& cost = service_costs_[member.report.service];
-        cost = std::max(cost, member.report.run_cost);
-    }
-}
-
-/// Takes over what the gates of all nodes ask for; says so at once when the
-/// own gate asks for more.
-void mesh_node::impl::refresh_shedding()
-{
-    auto& pressure = gate_->pressure();
-    const auto limit = std::max<std::size_t>(1, gate_->load().limit);
-    const auto usage =
-        static_cast<double>(gate_->running()) / static_cast<double>(limit);
-    const bool has_risen = pressure.advance(clock::now(), usage);
-    pressure_summary summary;
-    summary.add(settings_.service, pressure.level());
-    for (const auto& [name, member] : fleet_.members()) {
-        if (member.is_reachable)
-            summary.add(member.report.service, member.report.pressure);
-    }
-    shedding_.set_levels(summary.combine());
-    if (!has_risen)
-        return;
-    log(log_level::info, "pressure_raised",
-        {{"level", pressure.level()},
-         {"running", gate_->running()},
-         {"waiting", gate_->waiting()},
-         {"limit", gate_->load().limit}});
+    reports_->refresh_targets();
     if (link_)
         link_->announce();
 }
@@ -285,12 +209,6 @@
             request.route_name, request.priority, at, clock::now());
 }
 
-double mesh_node::impl::cost_of(const service_name& service) const
-{
-    const auto found = service_costs_.find(service);
-    return found == service_costs_.end() ? 1 : std::max(1.0, found->second);
-}
-
 bool mesh_node::impl::is_ready() const
 {
     return has_joined_ && !stopping_;
@@ -359,8 +277,7 @@
     BOOST_OUTCOME_TRYV(listen(*callers_, settings_.callers, "callers"));
     subscriptions_.push_back(timers_.every(
         tick_period, [this, action = std::move(tick_action)](time_point) {
-            refresh_costs();
-            refresh_shedding();
+            reports_->refresh();
             if (has_joined_ && !stopping_)
                 follower_->check_age();
             if (action)
@@ -373,7 +290,7 @@
         {{"name", settings_.name},
          {"service", settings_.service},
          {"availability_zone", settings_.zone},
-         {"life", life_}});
+         {"life", reports_->life()}});
     return boost::outcome_v2::success();
 }
 
@@ -396,7 +313,7 @@
     link.ledger = &ledger_;
     link.timers = &timers_;
     link.newer_config_seen = [this] { follower_->check_now(); };
-    link.own_report = [this] { return own_report(); };
+    link.own_report = [this] { return reports_->own_report(); };
     link.peers = [this] { return peer_client_.get(); };
     link_ = std::make_unique<fleet_link>(executor_, std::move(link));
 
@@ -409,7 +326,7 @@
     calls.gate = gate_;
     calls.metrics = &metrics_;
     calls.cost_of = [this](const service_name& service) {
-        return cost_of(service);
+        return reports_->cost_of(service);
     };
     calls.no_room =
         [this](const call_context& request, const service_name& at) {
@@ -432,7 +349,7 @@
     entry.shedding = &shedding_;
     entry.random = random_numbers();
     entry.count_call = [this](const service_name& service) {
-        gate_->costs().count_call(cost_of(service));
+        gate_->costs().count_call(reports_->cost_of(service));
     };
     entry_ = std::make_unique<caller_entry>(executor_, std::move(entry));
 }
@@ -473,7 +390,7 @@
 
 result<void> mesh_node::impl::open_peers(const std::string& secret)
 {
-    const peer_identity identity{settings_.name, life_, secret};
+    const peer_identity identity{settings_.name, reports_->life(), secret};
     peer_limits limits;
     limits.connect_timeout = milliseconds(400);
     limits.handshake_timeout = milliseconds(600);
@@ -493,7 +410,8 @@
 awaitable<void> mesh_node::impl::register_node()
 {
     for (unsigned failures = 1;; ++failures) {
-        const auto written = co_await adapter_.store->put_node(own_report());
+        const auto written =
+            co_await adapter_.store->put_node(reports_->own_report());
         if (written) {
             auto rows = co_await adapter_.store->list_nodes();
             if (rows) {
@@ -515,7 +433,7 @@
         for (const auto& row : rows.value()) {
             // The time of day may have been set back since the earlier life.
             if (row.node == settings_.name)
-                life_ = std::max(life_, row.life + 1);
+                reports_->set_life(std::max(reports_->life(), row.life + 1));
         }
     }
     const auto opened = open_peers(secret);
@@ -526,11 +444,11 @@
     }
     follower_->start();
     co_await register_node();
-    refresh_targets();
+    reports_->refresh_targets();
     link_->start();
     has_joined_ = true;
     log(log_level::info, "joined",
-        {{"nodes", fleet_.members().size()}, {"life", life_}});
+        {{"nodes", fleet_.members().size()}, {"life", reports_->life()}});
 }
 
 awaitable<streamed_response>
@@ -621,7 +539,8 @@
 
 awaitable<void> mesh_node::impl::remove_row()
 {
-    const auto removed = co_await adapter_.store->remove_node(own_report());
+    const auto removed =
+        co_await adapter_.store->remove_node(reports_->own_report());
     if (!removed) {
         log(log_level::warning, "row_not_removed",
             {{"error", to_string(removed.error())}});
@@ -633,7 +552,7 @@
     const auto begun = clock::now();
     const auto last =
         begun + from_seconds(to_seconds(settings_.stop_limit) * finish_share);
-    refresh_targets();
+    reports_->refresh_targets();
     if (has_joined_) {
         link_->say_goodbye();
         asio::co_spawn(executor_, remove_row(), asio::detached);
