Forget requests of routes that are gone when shedding at the entry

Kinds of requests were kept for the life of a node; after a thousand routes that came and went, new ones were let in whatever the pressure. The test fails without the change.

--- a/src/gate/pressure_test.cpp
+++ b/src/gate/pressure_test.cpp
@@ -6,6 +6,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <string>
+
 namespace fj = fulmarjunction;
 using std::chrono::milliseconds;
 
@@ -149,6 +151,19 @@
     CHECK(count_refused(shedding, "export", 2, 100, start) == 0);
 }
 
+TEST_CASE("routes that are gone make room for new ones")
+{
+    fj::root_shedding shedding;
+    for (int i = 0; i < 1000; ++i)
+        shedding.refuses("old-" + std::to_string(i), 2, start);
+    shedding.set_levels({{"stock", 0.5}});
+    learn(shedding, "new", 2, "stock", start);
+    CHECK(count_refused(shedding, "new", 2, 100, start) == 0);
+    const auto later = start + std::chrono::minutes(2);
+    learn(shedding, "new", 2, "stock", later);
+    CHECK(count_refused(shedding, "new", 2, 100, later) == 50);
+}
+
 TEST_CASE("a refused call is remembered for a moment only")
 {
     fj::refused_calls refused;
--- a/src/gate/root_shedding.cpp
+++ b/src/gate/root_shedding.cpp
@@ -13,6 +13,10 @@
 /// Kinds of requests that are followed; more than these are let in.
 constexpr std::size_t max_kinds = 1000;
 
+/// Kinds that have not been seen for this long make room for new ones: routes
+/// come and go with the configuration.
+constexpr seconds forget_kind_after{60};
+
 } // namespace
 
 void pressure_summary::add(const service_name& service, double level)
@@ -102,8 +106,13 @@
     const std::string& route_name, unsigned priority, time_point now)
 {
     const kind_key key{route_name, priority};
-    if (!kinds_.contains(key) && kinds_.size() >= max_kinds)
-        return false;
+    if (!kinds_.contains(key) && kinds_.size() >= max_kinds) {
+        std::erase_if(kinds_, [&](const auto& known) {
+            return now - known.second.counted_since > forget_kind_after;
+        });
+        if (kinds_.size() >= max_kinds)
+            return false;
+    }
     auto& current = kinds_[key];
     if (now - current.counted_since > settings_.learning_time)
         restart_count(current, now);
