--- a/src/mesh/mesh_nodes_test.cpp
+++ b/src/mesh/mesh_nodes_test.cpp
@@ -487,6 +487,27 @@
     CHECK(fleet.rows->nodes.count("n1") == 0);
 }
 
+TEST_CASE("a row of a node whose address another one has taken harms nobody")
+{
+    auto& fleet = make_fleet();
+    fleet.rows->config.routes[0].kind = fj::execution::unique;
+    fleet.publish();
+    auto gone = fleet.rows->nodes.at("n2");
+    gone.node = "gone";
+    fleet.rows->nodes["gone"] = gone;
+    fleet.machines.push_back(std::make_unique<test_machine>(
+        fleet.rows, "n4", "shop", milliseconds(60'000)));
+    run_until([&] { return fleet.machines[3]->is_ready(); });
+    fleet.machines[3]->beat();
+    fleet.machines[2]->beat(true);
+    run_until([&] { return fleet.send("/books/1", "key-1", 3).status == 200; });
+    // Exchanges with the node that is gone fail meanwhile.
+    fleet.machines[1]->service_time = milliseconds(3000);
+    const auto slow = start(fleet.exchange("/books/1", "key-1", 3, "POST"));
+    run_until([&] { return slow->has_value(); });
+    CHECK((*slow)->status == 200);
+}
+
 // Not run by default: a load to count instructions with, such as
 // `valgrind --tool=callgrind mesh_test "[load]"`.
 TEST_CASE("two thousand requests over two nodes", "[.][load]")
