Count a replaced node as silent, as before

The change before also took a node whose address another one has for ended, which lets the others use its part of a rate at once. Only the connection is kept now.

--- a/src/mesh/fleet_link.cpp
+++ b/src/mesh/fleet_link.cpp
@@ -158,13 +158,11 @@
     if (member == nullptr)
         return;
     const bool is_refused = problem.detail.find("refused") != std::string::npos;
-    // Another node lives at the address now, so this one has ended; the
-    // connection is the other's.
+    // Another node lives at the address now: the connection is its own.
     const bool is_replaced =
         problem.detail.find("another instance") != std::string::npos;
-    const bool has_ended = is_refused || is_replaced;
     const auto misses = ++partners_[node].silent_exchanges;
-    if (!has_ended && misses < max_silent_exchanges) {
+    if (!is_refused && misses < max_silent_exchanges) {
         // The second question follows at once.
         begin_exchange(*member);
         return;
@@ -172,14 +170,14 @@
     if (member->is_reachable) {
         log(log_level::warning, "peer_lost",
             {{"peer", node},
-             {"how", has_ended ? "refused" : "silent"},
+             {"how", is_refused ? "refused" : "silent"},
              {"error", to_string(problem)}});
     }
     // The connection may have gone silent for good while new ones work.
     if (!is_replaced)
         parts_.peers()->drop(member->address);
     parts_.fleet->fail(
-        node, has_ended ? peer_failure::refused : peer_failure::silent,
+        node, is_refused ? peer_failure::refused : peer_failure::silent,
         clock::now());
 }
 
