Run retries after a crash side by side, also where the report of the crash is faster

Retries of requests that were in flight at a crash race with the report of that crash. A retry that arrives second is told to run alone, waits for its turn while others run for 3 s, and is refused after 2 s.

Ruled out: load of the machine as such (6 copies of the test at once passed); the deadline (10 s; the retry needs 3 s).

Now a retry that follows the failure of a backend server runs at once; it is the second run at most. Logs name requests that were refused as suspects or got no turn.

--- a/include/fulmarjunction/core/request_context.hpp
+++ b/include/fulmarjunction/core/request_context.hpp
@@ -27,6 +27,8 @@
     std::uint32_t retries = 0;
     /// Whether the call is a child of an admitted request.
     bool invested = false;
+    /// Whether an earlier attempt ended with a failure of the backend server.
+    bool after_backend_failure = false;
     /// Weight of the account's plan for fair sharing.
     double weight = 1.0;
     /// Highest level of this service for this request's flow that nodes on
--- a/include/fulmarjunction/serving/dispatcher.hpp
+++ b/include/fulmarjunction/serving/dispatcher.hpp
@@ -95,7 +95,8 @@
 
     awaitable<attempt> try_instance(
         outgoing_call& call, const instance_name& instance,
-        std::uint32_t handed, cancel_event canceled);
+        std::uint32_t handed, bool after_backend_failure,
+        cancel_event canceled);
     awaitable<sent_answer> send(
         const instance_name& instance, request_context context,
         streamed_request request, cancel_event canceled);
--- a/include/fulmarjunction/suspects/suspects.hpp
+++ b/include/fulmarjunction/suspects/suspects.hpp
@@ -124,7 +124,13 @@
         time_point now) const;
 
     /// Decides for the node at whose backend server the request has arrived.
-    suspect_decision decide_here(fingerprint print, time_point now) const;
+    /// @param after_backend_failure whether its sender retries it since the
+    ///        first backend server failed. Such a retry does not run alone: all
+    ///        requests in flight at a crash are retried at the same time, and
+    ///        most of them would wait for their turn in vain. It is the second
+    ///        run at most, since the sender takes no third.
+    suspect_decision decide_here(
+        fingerprint print, bool after_backend_failure, time_point now) const;
 
     /// Returns what changed after change number `after`, newest first, at
     /// most `limit` reports.
--- a/src/serving/backend_gate.cpp
+++ b/src/serving/backend_gate.cpp
@@ -218,8 +218,12 @@
     }
     const auto print = fingerprint_of(
         context.account, context.endpoint, request.target, body.value().prefix);
-    const auto treatment = suspects_.decide_here(print, clock::now());
+    const auto treatment = suspects_.decide_here(
+        print, context.after_backend_failure, clock::now());
     if (treatment.action == suspect_action::refuse) {
+        log(log_level::info, "suspect_refused",
+            {{"root", to_string(context.root)},
+             {"endpoint", context.endpoint}});
         co_return refusal_answer(
             {outcome::not_run, refusal_reason::suspect_request, 0}, notes);
     }
@@ -242,6 +246,10 @@
     const bool alone = treatment.action == suspect_action::run_alone;
     if (!co_await wait_for_turn(id, alone, context.deadline, canceled)) {
         finish(id, completion::refused);
+        log(log_level::info, "no_turn_for_request",
+            {{"root", to_string(context.root)},
+             {"endpoint", context.endpoint},
+             {"runs_alone", alone}});
         co_return refusal_answer(
             {outcome::not_run, refusal_reason::overloaded, 0}, notes);
     }
--- a/src/serving/context_codec.cpp
+++ b/src/serving/context_codec.cpp
@@ -114,6 +114,8 @@
     add(fields, "fj-depth", fmt::format("{}", context.depth));
     add(fields, "fj-retries", fmt::format("{}", context.retries));
     add(fields, "fj-invested", context.invested ? "1" : "0");
+    if (context.after_backend_failure)
+        add(fields, "fj-after-failure", "1");
     add(fields, "fj-weight", fmt::format("{}", context.weight));
     if (context.applied_level > 0)
         add(fields, "fj-applied-level",
@@ -146,6 +148,8 @@
         taker.required_number<std::uint32_t>("fj-retries", 0, max_retries);
     context.invested =
         taker.required_number<std::uint32_t>("fj-invested", 0, 1) == 1;
+    context.after_backend_failure =
+        taker.number<std::uint32_t>("fj-after-failure", 0, 1) == 1U;
     context.weight =
         taker.required_number<double>("fj-weight", 0.001, 1'000'000);
     context.applied_level =
--- a/src/serving/dispatcher.cpp
+++ b/src/serving/dispatcher.cpp
@@ -80,6 +80,7 @@
     call_answer last(
         refusal{outcome::not_run, refusal_reason::deadline_expired, 0});
     bool may_have_run = false;
+    bool backend_failed = false;
     for (;;) {
         const auto now = clock::now();
         if (now >= call.context.deadline || canceled.is_canceled())
@@ -99,11 +100,12 @@
         call.context.applied_level =
             std::max(applied_on_the_way, choice.applied_level);
         const auto handed = budget.hand_down(part_for_child(budget));
-        auto tried_once =
-            co_await try_instance(call, *choice.instance, handed, canceled);
+        auto tried_once = co_await try_instance(
+            call, *choice.instance, handed, backend_failed, canceled);
         budget.give_back(handed, tried_once.unspent);
         if (tried_once.backend_failed)
             parts_.backend_failed(print, *choice.instance);
+        backend_failed = backend_failed || tried_once.backend_failed;
         last = std::move(tried_once.answer);
         if (last.response)
             co_return last;
@@ -130,10 +132,11 @@
 
 awaitable<dispatcher::attempt> dispatcher::try_instance(
     outgoing_call& call, const instance_name& instance, std::uint32_t handed,
-    cancel_event canceled)
+    bool after_backend_failure, cancel_event canceled)
 {
     auto context = call.context;
     context.retries = handed;
+    context.after_backend_failure = after_backend_failure;
     streamed_request request{
         call.method, call.target, call.headers, call.content_length, {}};
     // `open` consumes a body that is not whole; such a call has one attempt.
--- a/src/serving/serving_test.cpp
+++ b/src/serving/serving_test.cpp
@@ -68,6 +68,7 @@
     context.depth = 3;
     context.retries = 2;
     context.invested = true;
+    context.after_backend_failure = true;
     context.weight = 2.5;
     context.idempotency_key = "k1";
     return context;
@@ -91,6 +92,7 @@
     CHECK(got.value().depth == 3);
     CHECK(got.value().retries == 2);
     CHECK(got.value().invested);
+    CHECK(got.value().after_backend_failure);
     CHECK(got.value().weight == 2.5);
     CHECK(got.value().idempotency_key == "k1");
     REQUIRE(fields.size() == 1);
--- a/src/suspects/suspect_list.cpp
+++ b/src/suspects/suspect_list.cpp
@@ -179,10 +179,13 @@
     return {suspect_action::run_alone, *first};
 }
 
-suspect_decision
-suspect_list::decide_here(fingerprint print, time_point now) const
+suspect_decision suspect_list::decide_here(
+    fingerprint print, bool after_backend_failure, time_point now) const
 {
-    return decide(print, {self_}, now);
+    const auto decision = decide(print, {self_}, now);
+    if (after_backend_failure && decision.action == suspect_action::run_alone)
+        return {};
+    return decision;
 }
 
 std::vector<suspect_report> suspect_list::changes(
--- a/src/suspects/suspects_test.cpp
+++ b/src/suspects/suspects_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <numeric>
 
 namespace fj = fulmarjunction;
 using fj::milliseconds;
@@ -81,8 +82,8 @@
     CHECK(at_a.instance == b.decide(7, reversed, start).instance);
     CHECK(at_a.instance != "i1");
     // The instance that it crashed does not run it.
-    CHECK(a.decide_here(7, start).action == action::refuse);
-    CHECK(b.decide_here(7, start).action == action::run_alone);
+    CHECK(a.decide_here(7, false, start).action == action::refuse);
+    CHECK(b.decide_here(7, false, start).action == action::run_alone);
     CHECK(a.decide(7, {"i1"}, start).action == action::refuse);
 }
 
@@ -182,3 +183,28 @@
     CHECK(one != fj::fingerprint_of("a", "bc", "/x", "bod"));
     CHECK(one != fj::fingerprint_of("z", "bc", "/x", "body"));
 }
+
+// Guards against a crash with many requests in flight after which their
+// retries wait for a turn alone and are refused, because the report of the
+// crash was faster than the retry.
+TEST_CASE("retries of requests that ran beside a crash run side by side")
+{
+    auto crashed = make_list("i1");
+    auto other = make_list("i2");
+    std::vector<fj::fingerprint> in_flight(20);
+    std::iota(in_flight.begin(), in_flight.end(), 100);
+    crashed.crashed(in_flight, std::nullopt, start);
+    exchange(crashed, other, start);
+    for (const auto print : in_flight) {
+        CHECK(other.decide_here(print, true, start).action == action::run);
+        // One that comes without an attempt before it may be the culprit.
+        CHECK(
+            other.decide_here(print, false, start).action == action::run_alone);
+    }
+    // A second crash proves enough.
+    other.crashed({100}, std::nullopt, start);
+    auto third = make_list("i3");
+    exchange(crashed, third, start);
+    exchange(other, third, start);
+    CHECK(third.decide_here(100, true, start).action == action::refuse);
+}
