Add fulmarctl explain: what became of a request, from the logs of all nodes

It joins the lines of one request in the order of their times, says in one sentence what decided it, and shows what the deciding node had noted of its peers, its store and its backend server before.

--- a/include/fulmarjunction/ctl/commands.hpp
+++ b/include/fulmarjunction/ctl/commands.hpp
@@ -69,7 +69,8 @@
 /// What a command does to the platform's table.
 enum class command_access
 {
-    /// It asks one node only, and so works while the platform is down.
+    /// It asks one node or reads files only, and so works while the platform
+    /// is down.
     none,
     reads,
     /// It makes a change, for which an operator's name is needed.
@@ -81,7 +82,8 @@
 {
     /// Words that select it, such as "accounts apply".
     std::string name;
-    /// Names of its arguments, such as "FILE".
+    /// Names of its arguments, such as "FILE". The last one may be given more
+    /// than once where its name ends in "...".
     std::vector<std::string> arguments;
     std::string help;
     command_access access = command_access::reads;
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -5,6 +5,7 @@
 #include <fulmarjunction/ctl/change.hpp>
 #include <fulmarjunction/ctl/commands.hpp>
 #include <fulmarjunction/ctl/list_diff.hpp>
+#include <fulmarjunction/explain/explain.hpp>
 #include <fulmarjunction/settings/settings.hpp>
 
 #include <boost/json/array.hpp>
@@ -15,6 +16,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <iterator>
 #include <utility>
 
 namespace fulmarjunction {
@@ -595,6 +597,46 @@
     co_return co_await apply(environment, std::move(change));
 }
 
+/// Adds the lines of a list of the explanation under a heading.
+void add_log_lines(
+    command_output& output, const char* name,
+    const std::vector<log_line>& lines)
+{
+    json::array list;
+    if (!lines.empty())
+        output.lines.push_back(fmt::format("{}:", name));
+    for (const auto& line : lines) {
+        auto text = format_line(line);
+        list.emplace_back(text);
+        output.lines.push_back("  " + std::move(text));
+    }
+    output.document[name] = std::move(list);
+}
+
+awaitable<command_output>
+explain_logs(ctl_environment& environment, arguments words)
+{
+    std::vector<log_line> log;
+    for (auto file = words.begin() + 1; file != words.end(); ++file) {
+        const auto text = environment.read_file(*file);
+        if (!text)
+            co_return make_failure(text.error());
+        auto lines = parse_log(text.value(), *file);
+        log.insert(
+            log.end(), std::make_move_iterator(lines.begin()),
+            std::make_move_iterator(lines.end()));
+    }
+    const auto found = explain_request(words.front(), std::move(log));
+    command_output output;
+    output.document["explanation"] = found.sentence;
+    output.lines.push_back(found.sentence);
+    add_log_lines(output, "lines", found.lines);
+    add_log_lines(output, "surroundings", found.surroundings);
+    if (found.lines.empty())
+        output.status = exit_status::failed;
+    co_return output;
+}
+
 std::vector<command_definition> make_definitions()
 {
     const std::string apply_help =
@@ -668,6 +710,12 @@
          "Releases a share whose holder has stopped for good.",
          command_access::changes,
          release_share},
+        {"explain",
+         {"REQUEST", "LOG..."},
+         "Says what became of a request, from the logs of all nodes that may "
+         "have seen it.",
+         command_access::none,
+         explain_logs},
     };
 }
 
@@ -677,6 +725,19 @@
            static_cast<std::size_t>(std::count(name.begin(), name.end(), ' '));
 }
 
+/// Returns whether the last argument may be given more than once.
+bool takes_more(const command_definition& command)
+{
+    return !command.arguments.empty() &&
+           command.arguments.back().ends_with("...");
+}
+
+bool accepts(const command_definition& command, std::size_t count)
+{
+    const auto wanted = command.arguments.size();
+    return takes_more(command) ? count >= wanted : count == wanted;
+}
+
 } // namespace
 
 const std::vector<command_definition>& command_definitions()
@@ -708,11 +769,12 @@
     words.erase(
         words.begin(),
         words.begin() + static_cast<std::ptrdiff_t>(word_count(command->name)));
-    if (words.size() != command->arguments.size())
+    if (!accepts(*command, words.size()))
         co_return make_failure(
             exit_status::usage, fmt::format(
-                                    "{} takes {} arguments", command->name,
-                                    command->arguments.size()));
+                                    "{} takes {} arguments{}", command->name,
+                                    command->arguments.size(),
+                                    takes_more(*command) ? " or more" : ""));
     if (command->access == command_access::changes &&
         environment.options.operator_name.empty())
         co_return make_failure(
--- a/src/ctl/ctl_test.cpp
+++ b/src/ctl/ctl_test.cpp
@@ -334,6 +334,23 @@
     CHECK(desk.core.get("shares/anand")->value.at("shares").as_array().empty());
 }
 
+TEST_CASE("explain joins the logs of several nodes", "[ctl]")
+{
+    desk desk;
+    desk.files["a.log"] =
+        "time=2 level=info event=refused request=r1 status=503 "
+        "reason=overloaded not_run=true retry_after_ms=200\n";
+    desk.files["b.log"] =
+        "time=1 level=info event=gate_refused request=r1 reason=overloaded "
+        "running=9 waiting=2 limit=9\n";
+    const auto found = desk.run({"explain", "r1", "a.log", "b.log"});
+    REQUIRE(found.status == exit_status::ok);
+    CHECK(found.lines.front().find("b.log had 9 of 9") != std::string::npos);
+    CHECK(found.document.at("lines").as_array().size() == 2);
+    CHECK(desk.run({"explain", "r2", "a.log"}).status == exit_status::failed);
+    CHECK(desk.run({"explain", "r1"}).status == exit_status::usage);
+}
+
 TEST_CASE("wrong commands are usage errors", "[ctl]")
 {
     desk desk;
--- /dev/null
+++ b/src/explain/explain.cpp
@@ -0,0 +1,250 @@
+#include <fulmarjunction/explain/explain.hpp>
+
+#include <fulmarjunction/mesh/call_context.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <iterator>
+
+namespace fulmarjunction {
+
+namespace {
+
+using log_lines = std::vector<log_line>;
+
+constexpr std::string_view refused_event = "refused";
+constexpr std::string_view gate_refused_event = "gate_refused";
+constexpr std::string_view retry_event = "retry";
+
+/// Events that change what a node believes of itself, its peers or the store.
+constexpr std::array belief_events = {
+    "started",
+    "joined",
+    "stopping",
+    "reloaded",
+    "backend_changed",
+    "config_applied",
+    "store_lost",
+    "store_regained",
+    "peer_lost",
+    "peer_found",
+    "pressure_raised",
+    "ledger_unreachable",
+    "config_history_lost"};
+
+/// Surroundings that are shown, the newest.
+constexpr std::size_t max_surroundings = 8;
+
+bool is_belief(const log_line& line)
+{
+    return std::find(belief_events.begin(), belief_events.end(), line.event) !=
+           belief_events.end();
+}
+
+bool is_earlier(const log_line& a, const log_line& b)
+{
+    return a.time < b.time;
+}
+
+bool is_final(const log_line& line)
+{
+    return line.event == refused_event || line.event == "answered" ||
+           line.event == "answered_late";
+}
+
+const log_line* last_of(const log_lines& lines, std::string_view event)
+{
+    const auto found =
+        std::find_if(lines.rbegin(), lines.rend(), [&](const log_line& line) {
+            return line.event == event;
+        });
+    return found == lines.rend() ? nullptr : &*found;
+}
+
+/// Says why a node beside a backend server gave no answer of that.
+std::string gate_reason(const log_line& line)
+{
+    const auto reason = parse_node_refusal(line.field("reason"));
+    const auto at = fmt::format("the node {}", line.source);
+    if (reason == node_refusal::overloaded) {
+        return fmt::format(
+            "{} had {} of {} slots in use and {} requests waiting", at,
+            line.field("running"), line.field("limit"), line.field("waiting"));
+    }
+    const auto detail = line.field("detail");
+    return fmt::format(
+        "{} said {}{}{}", at, line.field("reason"), detail.empty() ? "" : ": ",
+        detail);
+}
+
+/// Says how the attempts of a request ended.
+std::string describe_attempts(const log_lines& lines)
+{
+    std::string text;
+    for (const auto& line : lines) {
+        if (line.event != gate_refused_event)
+            continue;
+        text += text.empty() ? "" : "; ";
+        text += gate_reason(line);
+    }
+    if (!text.empty())
+        return text;
+    const auto* retry = last_of(lines, retry_event);
+    if (retry == nullptr)
+        return "no node beside a backend server has a line for it";
+    return fmt::format(
+        "the attempt at {} ended with {} {}", retry->field("instance"),
+        retry->field("reason"), retry->field("detail"));
+}
+
+/// Says what a reason of a refusal means, with the inputs that decided it.
+std::string describe_reason(const log_line& line, const log_lines& lines)
+{
+    const auto reason = parse_node_refusal(line.field("reason"));
+    if (!reason)
+        return fmt::format("for the reason {}", line.field("reason"));
+    switch (*reason) {
+    case node_refusal::no_configuration:
+        return "because the node had read no configuration yet";
+    case node_refusal::unconfirmed_configuration:
+        return fmt::format(
+            "because the node had last confirmed its configuration {} {} ms "
+            "before and so trusted no key",
+            line.field("config"), line.field("config_age_ms"));
+    case node_refusal::key_missing:
+        return "because it showed no key on a route that needs one";
+    case node_refusal::key_unknown:
+        return fmt::format(
+            "because configuration {} holds no such key", line.field("config"));
+    case node_refusal::no_route:
+        return fmt::format(
+            "because configuration {} has no route for its host and path",
+            line.field("config"));
+    case node_refusal::bad_request:
+    case node_refusal::head_too_large:
+    case node_refusal::body_too_large:
+        return fmt::format(
+            "because it was not acceptable ({})", line.field("reason"));
+    case node_refusal::over_rate:
+        return "because its account had used up its rate";
+    case node_refusal::no_ledger:
+        return "because the ledger of its account's rate did not answer";
+    case node_refusal::overloaded_below:
+        return "because a service that its calls lead to has no room";
+    case node_refusal::no_backend:
+    case node_refusal::draining:
+    case node_refusal::other_backend:
+        return "because no backend server of the service was left to try: " +
+               describe_attempts(lines);
+    case node_refusal::overloaded:
+        return "because no backend server that was asked had room in time: " +
+               describe_attempts(lines);
+    case node_refusal::turned_away:
+        return "because the backend server rejected it without running it: " +
+               describe_attempts(lines);
+    case node_refusal::too_late:
+        return "because its time was up before it could run: " +
+               describe_attempts(lines);
+    case node_refusal::timeout:
+        return "because its time was up while it ran: " +
+               describe_attempts(lines);
+    case node_refusal::broken:
+        return "because the connection broke after it was sent: " +
+               describe_attempts(lines);
+    case node_refusal::bad_answer:
+        return "because the backend server's answer was not valid: " +
+               describe_attempts(lines);
+    case node_refusal::canceled:
+        return "because its caller had left";
+    }
+    return {};
+}
+
+std::string describe_refusal(const log_line& line, const log_lines& lines)
+{
+    auto text = fmt::format(
+        "Refused with status {} by {} {}", line.field("status"), line.source,
+        describe_reason(line, lines));
+    text += line.field("not_run") == "true" ? "; it has not run"
+                                            : "; it may have run";
+    const auto retry_after = line.field("retry_after_ms");
+    if (!retry_after.empty() && retry_after != "-1")
+        text += fmt::format(
+            ", and the caller may come again after {} ms", retry_after);
+    return text + ".";
+}
+
+std::string describe_answer(const log_line& line, const log_lines& lines)
+{
+    const auto attempts =
+        std::count_if(lines.begin(), lines.end(), [](const log_line& one) {
+            return one.event == retry_event;
+        });
+    return fmt::format(
+        "Answered by a backend server with status {} through {} after {} ms, "
+        "{}, with {} failed attempts before.",
+        line.field("status"), line.source, line.field("ms"),
+        line.event == "answered" ? "within the objective of its route"
+                                 : "later than the objective of its route",
+        attempts);
+}
+
+std::string describe(const log_line* decided, const log_lines& lines)
+{
+    if (lines.empty())
+        return "No line names this request: it reached none of these nodes, or "
+               "its lines were left out (see lines_left_out).";
+    if (decided == nullptr) {
+        return fmt::format(
+            "No node tells its end; the last line is {} of {}.",
+            lines.back().event, lines.back().source);
+    }
+    if (decided->event == refused_event)
+        return describe_refusal(*decided, lines);
+    return describe_answer(*decided, lines);
+}
+
+/// Returns the newest lines that the node of the decision wrote before it
+/// about what it believed.
+log_lines find_surroundings(const log_line& decided, const log_lines& log)
+{
+    log_lines found;
+    std::copy_if(
+        log.begin(), log.end(), std::back_inserter(found),
+        [&](const log_line& line) {
+            return line.source == decided.source && is_belief(line) &&
+                   line.time <= decided.time;
+        });
+    std::stable_sort(found.begin(), found.end(), is_earlier);
+    if (found.size() > max_surroundings) {
+        const auto extra = found.size() - max_surroundings;
+        found.erase(
+            found.begin(), found.begin() + static_cast<std::ptrdiff_t>(extra));
+    }
+    return found;
+}
+
+} // namespace
+
+explanation
+explain_request(std::string_view request_id, std::vector<log_line> log)
+{
+    explanation result;
+    std::copy_if(
+        log.begin(), log.end(), std::back_inserter(result.lines),
+        [&](const log_line& line) {
+            return line.field("request") == request_id;
+        });
+    std::stable_sort(result.lines.begin(), result.lines.end(), is_earlier);
+    const auto decided =
+        std::find_if(result.lines.rbegin(), result.lines.rend(), is_final);
+    const bool is_decided = decided != result.lines.rend();
+    result.sentence = describe(is_decided ? &*decided : nullptr, result.lines);
+    if (is_decided)
+        result.surroundings = find_surroundings(*decided, log);
+    return result;
+}
+
+} // namespace fulmarjunction
