Let peers use the backend server of a node that stops for 1.5 s more

Cause: at SIGTERM a node refused its peers at once, though it must stay for 2.6 s until its callers have left.

Test: a node that stops lets its peers use its backend server at first (before: 503 at once).

--- a/include/fulmarjunction/mesh/mesh_node.hpp
+++ b/include/fulmarjunction/mesh/mesh_node.hpp
@@ -56,8 +56,8 @@
     /// Called a few times a second.
     std::function<void()> on_tick;
 
-    /// Stops without cutting a request: says that it is not ready, takes no
-    /// more calls from other nodes, finishes what it has, then leaves.
+    /// Stops without cutting a request: says that it is not ready, takes calls
+    /// from other nodes for a moment longer, finishes what it has and ends.
     void stop(std::function<void()> at_end);
 
 private:
--- a/src/mesh/fleet_reports.cpp
+++ b/src/mesh/fleet_reports.cpp
@@ -27,7 +27,7 @@
     report.zone = parts_.settings->zone;
     report.service = parts_.settings->service;
     report.backend_id = parts_.monitor->id();
-    report.state = parts_.is_stopping() ? backend_state::absent
+    report.state = parts_.has_left() ? backend_state::absent
                                         : parts_.monitor->state(clock::now());
     const auto load = parts_.gate->load();
     report.limit = load.limit;
--- a/src/mesh/fleet_reports.hpp
+++ b/src/mesh/fleet_reports.hpp
@@ -33,7 +33,7 @@
         placement* places = nullptr;
         service_budget* budget = nullptr;
         root_shedding* shedding = nullptr;
-        std::function<bool()> is_stopping;
+        std::function<bool()> has_left;
         /// Sends the own report to all nodes now.
         std::function<void()> announce;
     };
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -48,6 +48,10 @@
 /// The platform notices within two questions, a second apart, that a node is
 /// not ready; until then callers keep coming.
 constexpr milliseconds leave_time(2600);
+/// A node that is to stop lets its peers use its backend server for this long:
+/// it has to wait for its callers anyway, and until it is back its slots are
+/// missing. What they send at the end has the rest of the stop limit.
+constexpr milliseconds serve_peers_time(1500);
 /// Part of the stop limit after which nothing is waited for any more.
 constexpr double finish_share = 0.87;
 constexpr milliseconds stop_check(20);
@@ -110,6 +114,7 @@
     awaitable<streamed_response> serve_peer(peer_request request);
     awaitable<streamed_response> serve_metrics(http_request request);
     awaitable<void> remove_row();
+    void leave_fleet();
     awaitable<void> run_stop(std::function<void()> at_end);
     awaitable<void>
     wait_until(std::function<bool()> is_done, time_point deadline);
@@ -147,6 +152,8 @@
     std::vector<timer_service::subscription> subscriptions_;
     bool has_joined_ = false;
     bool stopping_ = false;
+    /// Peers have been told to send nothing more.
+    bool has_left_ = false;
 };
 
 mesh_node::impl::impl(
@@ -172,7 +179,7 @@
     reporting.places = &places_;
     reporting.budget = &budget_;
     reporting.shedding = &shedding_;
-    reporting.is_stopping = [this] { return stopping_; };
+    reporting.has_left = [this] { return has_left_; };
     reporting.announce = [this] {
         if (link_)
             link_->announce();
@@ -500,7 +507,7 @@
         co_return hop_answer(
             {node_refusal::bad_request, true, false, std::nullopt});
     }
-    if (stopping_) {
+    if (has_left_) {
         co_return hop_answer(
             {node_refusal::draining, true, false, std::nullopt});
     }
@@ -547,16 +554,27 @@
     }
 }
 
+void mesh_node::impl::leave_fleet()
+{
+    has_left_ = true;
+    reports_->refresh_targets();
+    if (!has_joined_)
+        return;
+    link_->say_goodbye();
+    asio::co_spawn(executor_, remove_row(), asio::detached);
+}
+
 awaitable<void> mesh_node::impl::run_stop(std::function<void()> at_end)
 {
     const auto begun = clock::now();
     const auto last =
         begun + from_seconds(to_seconds(settings_.stop_limit) * finish_share);
-    reports_->refresh_targets();
-    if (has_joined_) {
-        link_->say_goodbye();
-        asio::co_spawn(executor_, remove_row(), asio::detached);
-    }
+    co_await wait_until(
+        [this] {
+            return monitor_.state(clock::now()) != backend_state::ready;
+        },
+        begun + serve_peers_time);
+    leave_fleet();
     // Callers come until the platform has noticed; the calls of requests
     // that still run beside this node need it too.
     co_await wait_until([] { return false; }, begun + leave_time);
--- a/src/mesh/mesh_nodes_test.cpp
+++ b/src/mesh/mesh_nodes_test.cpp
@@ -487,6 +487,26 @@
     CHECK(fleet.rows->nodes.count("n1") == 0);
 }
 
+// Guards against capacity that is lost for longer than a restart takes: a node
+// that refuses its peers as soon as it is told to stop leaves the slots of its
+// backend server unused while it waits for its callers to leave.
+TEST_CASE("a node that stops lets its peers use its backend server at first")
+{
+    auto& fleet = make_fleet();
+    fleet.machines[1]->beat(true);
+    run_until([&] { return fleet.send("/books/1", "key-1").body == "n3"; });
+    const auto begun = fj::clock::now();
+    bool has_stopped = false;
+    fleet.machines[2]->process->stop([&] { has_stopped = true; });
+    CHECK_FALSE(fleet.machines[2]->is_ready());
+    while (fj::clock::now() - begun < milliseconds(1000))
+        CHECK(fleet.send("/books/1", "key-1").status == 200);
+    // Before it ends it refuses new work, so that nothing is cut.
+    run_until([&] { return fleet.send("/books/1", "key-1").status == 503; });
+    CHECK_FALSE(has_stopped);
+    run_until([&] { return has_stopped; });
+}
+
 TEST_CASE("a row of a node whose address another one has taken harms nobody")
 {
     auto& fleet = make_fleet();
