--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -48,10 +48,10 @@
 /// The platform notices within two questions, a second apart, that a node is
 /// not ready; until then callers keep coming.
 constexpr milliseconds leave_time(2600);
-/// A node that is to stop lets its peers use its backend server for this long:
-/// it has to wait for its callers anyway, and until it is back its slots are
-/// missing. What they send at the end has the rest of the stop limit.
-constexpr milliseconds serve_peers_time(1500);
+/// Part of the stop limit for which peers may use the backend server of a node
+/// that is to stop: it has to wait for its callers anyway, and until it is back
+/// its slots are missing. What they send last has the rest of the limit.
+constexpr double serve_peers_share = 0.35;
 /// Part of the stop limit after which nothing is waited for any more.
 constexpr double finish_share = 0.87;
 constexpr milliseconds stop_check(20);
@@ -567,13 +567,13 @@
 awaitable<void> mesh_node::impl::run_stop(std::function<void()> at_end)
 {
     const auto begun = clock::now();
-    const auto last =
-        begun + from_seconds(to_seconds(settings_.stop_limit) * finish_share);
+    const auto limit_s = to_seconds(settings_.stop_limit);
+    const auto last = begun + from_seconds(limit_s * finish_share);
     co_await wait_until(
         [this] {
             return monitor_.state(clock::now()) != backend_state::ready;
         },
-        begun + serve_peers_time);
+        begun + from_seconds(limit_s * serve_peers_share));
     leave_fleet();
     // Callers come until the platform has noticed; the calls of requests
     // that still run beside this node need it too.
