Join with three calls to the store; count lives by the store's changes

Change: a node without a configuration waits at the feed; secret and rows come with one read; the life of a node is the version that the store gives to its row, which needs no read before the write and no clock; after a failure the configuration is read once instead of by two loops.

--- a/include/fulmarjunction/store/fleet_store.hpp
+++ b/include/fulmarjunction/store/fleet_store.hpp
@@ -32,6 +32,16 @@
     bool is_history_lost = false;
 };
 
+/// What the store holds of the fleet, as of one moment.
+struct fleet_rows
+{
+    /// The secret that all nodes prove to each other; nothing until one of
+    /// them has created it.
+    std::optional<std::string> secret;
+    /// Reports as they were written, with the lives that began then.
+    std::vector<node_report> nodes;
+};
+
 /// The shared store. Its answers are linearizable; every call may fail, be
 /// late, or take effect without an answer.
 class fleet_store
@@ -46,14 +56,18 @@
     virtual awaitable<result<config_read>>
     follow_config(store_position from, milliseconds wait) = 0;
 
-    /// Returns the secret that all nodes prove to each other, and creates it
-    /// where there is none.
-    virtual awaitable<result<std::string>> shared_secret() = 0;
+    virtual awaitable<result<fleet_rows>> read_fleet() = 0;
+
+    /// Creates the secret unless there is one.
+    /// @return the secret that holds from now on
+    virtual awaitable<result<std::string>> create_secret() = 0;
 
     /// Writes the row of this node, in place of an earlier life's.
-    virtual awaitable<result<void>> put_node(const node_report& self) = 0;
+    /// @return the life that begins with the row: the store counts its changes,
+    ///         so lives of a node grow whatever its clock says
+    virtual awaitable<result<incarnation>>
+    put_node(const node_report& self) = 0;
     virtual awaitable<result<void>> remove_node(const node_report& row) = 0;
-    virtual awaitable<result<std::vector<node_report>>> list_nodes() = 0;
 };
 
 } // namespace fulmarjunction
--- a/src/mesh/config_follower.cpp
+++ b/src/mesh/config_follower.cpp
@@ -91,7 +91,7 @@
 {
     for (unsigned failures = 1;; ++failures) {
         const bool has_read = co_await read();
-        if (has_read && parts_.config->current())
+        if (has_read)
             co_return;
         co_await pause_after(failures, executor_);
     }
@@ -105,11 +105,10 @@
 awaitable<void> config_follower::follow()
 {
     unsigned failures = 0;
-    bool must_read = false;
     for (;;) {
-        if (must_read) {
+        if (must_read_) {
             const bool has_read = co_await read();
-            must_read = !has_read;
+            must_read_ = !has_read;
             failures = has_read ? 0 : failures + 1;
             if (!has_read)
                 co_await pause_after(failures, executor_);
@@ -124,6 +123,9 @@
             found.has_value(),
             found ? std::string() : to_string(found.error()));
         if (!found) {
+            // A read tells at once that the store is back; a feed is silent
+            // until something changes.
+            must_read_ = true;
             co_await pause_after(++failures, executor_);
             continue;
         }
@@ -131,7 +133,7 @@
         if (found.value().is_history_lost) {
             log(log_level::info, "config_history_lost",
                 {{"position", position_}});
-            must_read = true;
+            must_read_ = true;
             continue;
         }
         take(std::move(found.value()), began);
@@ -140,6 +142,9 @@
 
 void config_follower::check_age()
 {
+    // The store is being asked already.
+    if (must_read_)
+        return;
     const auto age = parts_.config->age(suspended_clock_now());
     if (!age || *age >= check_after)
         check_now();
--- a/src/mesh/config_follower.hpp
+++ b/src/mesh/config_follower.hpp
@@ -36,7 +36,8 @@
 
     config_follower(boost::asio::any_io_executor executor, parts wiring);
 
-    /// Returns when a first configuration is in force.
+    /// Returns when the store has answered: with the configuration, or that
+    /// there is none yet.
     awaitable<void> read_first();
 
     /// Starts to follow changes; never ends.
@@ -60,6 +61,8 @@
     answer_clock answers_;
     store_position position_ = 0;
     bool store_is_lost_ = false;
+    /// Set while the whole configuration is read again after a failure.
+    bool must_read_ = false;
     bool is_checking_ = false;
     time_point checked_at_{};
 };
--- a/src/mesh/fleet_reports.cpp
+++ b/src/mesh/fleet_reports.cpp
@@ -12,8 +12,8 @@
 namespace fulmarjunction {
 
 fleet_reports::fleet_reports(
-    boost::asio::any_io_executor executor, parts wiring, incarnation life)
-    : executor_(std::move(executor)), parts_(std::move(wiring)), life_(life)
+    boost::asio::any_io_executor executor, parts wiring)
+    : executor_(std::move(executor)), parts_(std::move(wiring))
 {
 }
 
@@ -28,7 +28,7 @@
     report.service = parts_.settings->service;
     report.backend_id = parts_.monitor->id();
     report.state = parts_.has_left() ? backend_state::absent
-                                        : parts_.monitor->state(clock::now());
+                                     : parts_.monitor->state(clock::now());
     const auto load = parts_.gate->load();
     report.limit = load.limit;
     report.load = load.load;
--- a/src/mesh/fleet_reports.hpp
+++ b/src/mesh/fleet_reports.hpp
@@ -38,8 +38,7 @@
         std::function<void()> announce;
     };
 
-    fleet_reports(
-        boost::asio::any_io_executor executor, parts wiring, incarnation life);
+    fleet_reports(boost::asio::any_io_executor executor, parts wiring);
 
     incarnation life() const { return life_; }
     void set_life(incarnation life) { life_ = life; }
@@ -64,7 +63,7 @@
 
     boost::asio::any_io_executor executor_;
     parts parts_;
-    incarnation life_;
+    incarnation life_ = 0;
     std::uint64_t reports_ = 0;
     std::unordered_map<service_name, double> service_costs_;
     bool refresh_is_due_ = false;
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -60,13 +60,6 @@
 constexpr std::size_t max_pipelined = 16;
 constexpr std::size_t max_caller_connections = 3000;
 
-incarnation clock_incarnation()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<incarnation>(
-        std::chrono::duration_cast<std::chrono::microseconds>(now).count());
-}
-
 std::function<std::uint64_t()> random_numbers()
 {
     auto engine = std::make_shared<std::mt19937_64>(std::random_device{}());
@@ -108,8 +101,10 @@
     awaitable<void> drive_timers();
     awaitable<void> join();
     void apply_limits(const connection_limits& limits);
-    awaitable<std::string> fetch_secret();
-    awaitable<void> register_node();
+    awaitable<result<void>> write_row();
+    awaitable<result<std::string>> read_rows();
+    awaitable<std::string> register_node();
+    awaitable<void> read_config(cancel_event has_read);
     result<void> open_peers(const std::string& secret);
     awaitable<streamed_response> serve_peer(peer_request request);
     awaitable<streamed_response> serve_metrics(http_request request);
@@ -184,8 +179,7 @@
         if (link_)
             link_->announce();
     };
-    reports_ = std::make_unique<fleet_reports>(
-        executor_, std::move(reporting), clock_incarnation());
+    reports_ = std::make_unique<fleet_reports>(executor_, std::move(reporting));
     monitor_.on_change = [this] { backend_changed(); };
     fleet_.on_change = [this] { reports_->refresh_targets(); };
     fleet_.on_report = [this](const node_report& report) {
@@ -218,7 +212,7 @@
 
 bool mesh_node::impl::is_ready() const
 {
-    return has_joined_ && !stopping_;
+    return has_joined_ && config_.current() && !stopping_;
 }
 
 result<void> mesh_node::impl::listen(
@@ -296,8 +290,7 @@
     log(log_level::info, "started",
         {{"name", settings_.name},
          {"service", settings_.service},
-         {"availability_zone", settings_.zone},
-         {"life", reports_->life()}});
+         {"availability_zone", settings_.zone}});
     return boost::outcome_v2::success();
 }
 
@@ -319,7 +312,11 @@
     link.config = &config_;
     link.ledger = &ledger_;
     link.timers = &timers_;
-    link.newer_config_seen = [this] { follower_->check_now(); };
+    link.newer_config_seen = [this] {
+        // Until it has joined the node is reading the newest one anyway.
+        if (has_joined_)
+            follower_->check_now();
+    };
     link.own_report = [this] { return reports_->own_report(); };
     link.peers = [this] { return peer_client_.get(); };
     link_ = std::make_unique<fleet_link>(executor_, std::move(link));
@@ -383,18 +380,6 @@
     callers_->set_limits(next);
 }
 
-awaitable<std::string> mesh_node::impl::fetch_secret()
-{
-    for (unsigned failures = 1;; ++failures) {
-        auto secret = co_await adapter_.store->shared_secret();
-        if (secret)
-            co_return std::move(secret.value());
-        log(log_level::warning, "secret_not_read",
-            {{"error", to_string(secret.error())}});
-        co_await pause_after(failures, executor_);
-    }
-}
-
 result<void> mesh_node::impl::open_peers(const std::string& secret)
 {
     const peer_identity identity{settings_.name, reports_->life(), secret};
@@ -412,47 +397,76 @@
     return boost::outcome_v2::success();
 }
 
+/// Writes the node's row, with which its life begins.
+awaitable<result<void>> mesh_node::impl::write_row()
+{
+    const auto life = co_await adapter_.store->put_node(reports_->own_report());
+    if (!life)
+        co_return life.error();
+    reports_->set_life(life.value());
+    co_return boost::outcome_v2::success();
+}
+
+/// Reads the rows of the others, and returns the secret.
+awaitable<result<std::string>> mesh_node::impl::read_rows()
+{
+    auto rows = co_await adapter_.store->read_fleet();
+    if (!rows)
+        co_return rows.error();
+    for (const auto& row : rows.value().nodes)
+        fleet_.learn(row, clock::now());
+    if (rows.value().secret)
+        co_return std::move(*rows.value().secret);
+    co_return co_await adapter_.store->create_secret();
+}
+
 /// Writes the node's row, then reads those of the others: of two nodes that
 /// start at once, one at least finds the other.
-awaitable<void> mesh_node::impl::register_node()
+/// @return the secret that the nodes share
+awaitable<std::string> mesh_node::impl::register_node()
 {
+    bool has_written = false;
     for (unsigned failures = 1;; ++failures) {
-        const auto written =
-            co_await adapter_.store->put_node(reports_->own_report());
-        if (written) {
-            auto rows = co_await adapter_.store->list_nodes();
-            if (rows) {
-                for (const auto& row : rows.value())
-                    fleet_.learn(row, clock::now());
-                co_return;
-            }
+        if (!has_written) {
+            const auto written = co_await write_row();
+            has_written = written.has_value();
+            if (!written)
+                log(log_level::warning, "row_not_written",
+                    {{"error", to_string(written.error())}});
+        }
+        if (has_written) {
+            auto secret = co_await read_rows();
+            if (secret)
+                co_return std::move(secret.value());
+            log(log_level::warning, "rows_not_read",
+                {{"error", to_string(secret.error())}});
         }
         co_await pause_after(failures, executor_);
     }
 }
 
-awaitable<void> mesh_node::impl::join()
+/// Reads the configuration, then tells of it.
+awaitable<void> mesh_node::impl::read_config(cancel_event has_read)
 {
     co_await follower_->read_first();
-    const auto secret = co_await fetch_secret();
-    auto rows = co_await adapter_.store->list_nodes();
-    if (rows) {
-        for (const auto& row : rows.value()) {
-            // The time of day may have been set back since the earlier life.
-            if (row.node == settings_.name)
-                reports_->set_life(std::max(reports_->life(), row.life + 1));
-        }
-    }
+    has_read.cancel();
+}
+
+awaitable<void> mesh_node::impl::join()
+{
+    const cancel_event has_read(executor_);
+    asio::co_spawn(executor_, read_config(has_read), asio::detached);
+    const auto secret = co_await register_node();
     const auto opened = open_peers(secret);
     if (!opened) {
         log(log_level::error, "start_failed",
             {{"error", to_string(opened.error())}});
         std::exit(1);
     }
-    follower_->start();
-    co_await register_node();
     reports_->refresh_targets();
     link_->start();
+    co_await has_read.wait();
+    follower_->start();
     has_joined_ = true;
     log(log_level::info, "joined",
         {{"nodes", fleet_.members().size()}, {"life", reports_->life()}});
@@ -570,9 +584,7 @@
     const auto limit_s = to_seconds(settings_.stop_limit);
     const auto last = begun + from_seconds(limit_s * finish_share);
     co_await wait_until(
-        [this] {
-            return monitor_.state(clock::now()) != backend_state::ready;
-        },
+        [this] { return monitor_.state(clock::now()) != backend_state::ready; },
         begun + from_seconds(limit_s * serve_peers_share));
     leave_fleet();
     // Callers come until the platform has noticed; the calls of requests
--- a/src/mesh/mesh_nodes_test.cpp
+++ b/src/mesh/mesh_nodes_test.cpp
@@ -23,7 +23,8 @@
     fj::service_document config;
     fj::store_position position = 1;
     std::map<std::string, fj::node_report> nodes;
-    std::string secret = "0123456789abcdef0123456789abcdef";
+    std::string secret;
+    fj::incarnation last_life = 0;
     bool is_away = false;
 };
 
@@ -59,16 +60,30 @@
         co_return found;
     }
 
-    fj::awaitable<fj::result<std::string>> shared_secret() override
+    fj::awaitable<fj::result<fj::fleet_rows>> read_fleet() override
     {
+        fj::fleet_rows known;
+        if (!rows_->secret.empty())
+            known.secret = rows_->secret;
+        for (const auto& [name, report] : rows_->nodes)
+            known.nodes.push_back(report);
+        co_return known;
+    }
+
+    fj::awaitable<fj::result<std::string>> create_secret() override
+    {
+        if (rows_->secret.empty())
+            rows_->secret = "0123456789abcdef0123456789abcdef";
         co_return rows_->secret;
     }
 
-    fj::awaitable<fj::result<void>>
+    fj::awaitable<fj::result<fj::incarnation>>
     put_node(const fj::node_report& self) override
     {
-        rows_->nodes[self.node] = self;
-        co_return boost::outcome_v2::success();
+        auto& row = rows_->nodes[self.node];
+        row = self;
+        row.life = ++rows_->last_life;
+        co_return row.life;
     }
 
     fj::awaitable<fj::result<void>>
@@ -78,15 +93,6 @@
         co_return boost::outcome_v2::success();
     }
 
-    fj::awaitable<fj::result<std::vector<fj::node_report>>>
-    list_nodes() override
-    {
-        std::vector<fj::node_report> all;
-        for (const auto& [name, report] : rows_->nodes)
-            all.push_back(report);
-        co_return all;
-    }
-
 private:
     fj::config_read read() const
     {
