Ask the backend server about its health at the start; witnesses not in step

Now a node asks the service's health path once, if it has heard nothing yet; heartbeats go before it. Waits now vary between 1.0 and 1.5 s.

Ruled out: that rows written before the node listens keep nodes apart (found again within 60 ms).

--- a/include/fulmarjunction/mesh/backend_monitor.hpp
+++ b/include/fulmarjunction/mesh/backend_monitor.hpp
@@ -5,6 +5,7 @@
 #include <fulmarjunction/core/names.hpp>
 #include <fulmarjunction/core/time.hpp>
 #include <fulmarjunction/fleet/fleet_view.hpp>
+#include <fulmarjunction/mesh/wire_format.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -64,6 +65,14 @@
     heartbeat_verdict hear(const backend_heartbeat& beat, time_point now);
     void hear(const backend_goodbye& goodbye);
 
+    /// Takes note of an answer about health. It only bridges the time until
+    /// the first heartbeat: it tells nothing of the start of the run, and one
+    /// that leaves may still say that it is well.
+    void hear(const backend_health& health, time_point now);
+
+    /// Whether nothing has been heard yet.
+    bool is_unknown() const { return !heard_at_; }
+
     /// Takes note that no process listens at the address.
     void refused_connection();
 
--- a/include/fulmarjunction/mesh/gate_service.hpp
+++ b/include/fulmarjunction/mesh/gate_service.hpp
@@ -45,6 +45,11 @@
     /// Takes over the slots and the state of the backend server.
     void backend_changed();
 
+    /// Asks the backend server about its health.
+    /// @param path where it answers such questions
+    /// @return nothing when it does not answer, or not well enough to be used
+    awaitable<std::optional<backend_health>> ask_health(std::string path);
+
     gate_load load() const;
 
     /// How far calls exceed the room of the backend server.
--- a/include/fulmarjunction/mesh/wire_format.hpp
+++ b/include/fulmarjunction/mesh/wire_format.hpp
@@ -46,6 +46,14 @@
     bool is_sealed = false;
 };
 
+/// What a backend server answers to a question about its health.
+struct backend_health
+{
+    /// Id of its run.
+    std::string id;
+    std::size_t slots = 0;
+};
+
 /// Translates between header fields and their meaning.
 struct wire_format
 {
@@ -58,6 +66,11 @@
         add_backend_fields;
     /// Reads the facts and removes the fields that are for nodes alone.
     std::function<backend_facts(int status, header_fields&)> take_backend_facts;
+    /// Reads the answer to a question about health; nothing when the backend
+    /// server is not well or does not say enough to be used.
+    std::function<std::optional<backend_health>(
+        int status, const header_fields&)>
+        read_health;
     /// Makes the fields of an answer of the node's own.
     std::function<header_fields(
         const std::string& request_id, std::optional<duration> retry_after)>
--- a/include/fulmarjunction/routes/service_map.hpp
+++ b/include/fulmarjunction/routes/service_map.hpp
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -91,6 +92,9 @@
     std::vector<route> routes;
     std::vector<account_entry> accounts;
     connection_limits limits;
+    /// Path at which backend servers of a service tell their health; services
+    /// without one are left out.
+    std::map<service_name, std::string> health_paths;
 };
 
 /// Finds routes and accounts in one version of the configuration. It never
@@ -116,6 +120,10 @@
     /// Returns the plan of the account that holds the key, or null.
     const account_plan* find_account(std::string_view key) const;
 
+    /// Returns the path for questions about the health of a service's backend
+    /// servers; empty when there is none.
+    std::string_view health_path(const service_name& service) const;
+
     const std::vector<account_plan>& plans() const { return plans_; }
     const std::vector<route>& routes() const { return routes_; }
 
@@ -127,6 +135,7 @@
     std::unordered_map<std::string, std::vector<std::size_t>> by_host_;
     std::vector<account_plan> plans_;
     std::unordered_map<std::string, std::size_t> by_key_hash_;
+    std::map<service_name, std::string> health_paths_;
 };
 
 using service_map_ptr = std::shared_ptr<const service_map>;
--- a/src/mesh/backend_monitor.cpp
+++ b/src/mesh/backend_monitor.cpp
@@ -66,7 +66,9 @@
 {
     if (!heard_at_ || goodbye.id != last_.id)
         return;
-    if (goodbye.born && *goodbye.born != last_.born)
+    // An answer about health tells nothing of the start.
+    const bool is_start_known = last_.born != 0;
+    if (is_start_known && goodbye.born && *goodbye.born != last_.born)
         return;
     if (std::exchange(is_gone_, true))
         return;
@@ -74,6 +76,19 @@
         on_change();
 }
 
+void backend_monitor::hear(const backend_health& health, time_point now)
+{
+    if (heard_at_)
+        return;
+    last_.id = health.id;
+    last_.service = service_;
+    last_.address = address_;
+    last_.slots = health.slots;
+    heard_at_ = now;
+    if (on_change)
+        on_change();
+}
+
 void backend_monitor::refused_connection()
 {
     if (std::exchange(is_unreachable_, true))
--- a/src/mesh/config_follower.cpp
+++ b/src/mesh/config_follower.cpp
@@ -19,7 +19,8 @@
 
 /// How long the store may hold a call that waits for a change: short at the
 /// witnesses, whose answers tell all nodes that nothing has changed.
-constexpr milliseconds witness_wait(1500);
+constexpr milliseconds shortest_witness_wait(1000);
+constexpr milliseconds longest_witness_wait(1500);
 constexpr milliseconds follow_wait(25'000);
 /// Age of the last confirmation at which a node asks the store itself, and
 /// how often it does so.
@@ -31,6 +32,14 @@
 
 } // namespace
 
+milliseconds witness_wait(std::uint64_t random)
+{
+    const auto spread = longest_witness_wait - shortest_witness_wait;
+    const auto choices = static_cast<std::uint64_t>(spread.count()) + 1;
+    return shortest_witness_wait +
+           milliseconds(static_cast<std::int64_t>(random % choices));
+}
+
 awaitable<void> pause_after(unsigned failures, asio::any_io_executor executor)
 {
     const auto longest =
@@ -115,8 +124,9 @@
             continue;
         }
         const auto began = suspended_clock_now();
-        const auto wait =
-            parts_.fleet->is_witness() ? witness_wait : follow_wait;
+        const auto wait = parts_.fleet->is_witness()
+                              ? witness_wait(parts_.random())
+                              : follow_wait;
         auto found = co_await parts_.store->follow_config(position_, wait);
         parts_.metrics->called_store("follow_config", found.has_value());
         store_answered(
--- a/src/mesh/config_follower.hpp
+++ b/src/mesh/config_follower.hpp
@@ -19,6 +19,11 @@
 awaitable<void>
 pause_after(unsigned failures, boost::asio::any_io_executor executor);
 
+/// Returns how long a witness lets the store hold a call that waits for a
+/// change. Witnesses that start together must not ask in step: when the store
+/// goes away, the youngest of their answers tells how long keys are trusted.
+milliseconds witness_wait(std::uint64_t random);
+
 /// Reads the configuration, follows its changes, and asks the store again
 /// when neither the feed nor another node has confirmed it for too long.
 class config_follower
@@ -30,6 +35,7 @@
         config_copy* config = nullptr;
         const fleet_view* fleet = nullptr;
         mesh_metrics* metrics = nullptr;
+        std::function<std::uint64_t()> random;
         /// Called when a configuration has come into force.
         std::function<void(const service_map&)> on_config;
     };
--- a/src/mesh/gate_service.cpp
+++ b/src/mesh/gate_service.cpp
@@ -20,6 +20,9 @@
 /// otherwise.
 constexpr seconds backend_idle_time(8);
 constexpr milliseconds backend_connect_timeout(500);
+/// A question about health waits for a slot like any other request; after this
+/// time the first heartbeat is near.
+constexpr milliseconds health_timeout(500);
 
 /// Statuses by which a request counts as not run.
 constexpr std::array promising_statuses = {408, 421, 429, 503};
@@ -107,6 +110,35 @@
     advance();
 }
 
+awaitable<std::optional<backend_health>>
+gate_service::ask_health(std::string path)
+{
+    streamed_request request;
+    request.method = "GET";
+    request.target = std::move(path);
+    request.headers = {{"host", "health"}};
+    request.content_length = 0;
+    request.body = empty_body();
+    auto answer = co_await client_.send(
+        std::move(request), clock::now() + health_timeout);
+    if (!answer) {
+        log(log_level::info, "health_not_answered",
+            {{"error", to_string(answer.error())}});
+        co_return std::nullopt;
+    }
+    const auto health =
+        format_.read_health(answer.value().status, answer.value().headers);
+    constexpr std::size_t max_health_bytes = 64 * 1024;
+    // The body is read so that the connection can be used again.
+    const auto body =
+        co_await read_body(std::move(answer.value().body), max_health_bytes);
+    log(log_level::info, "health_answered",
+        {{"status", answer.value().status},
+         {"usable", health.has_value()},
+         {"whole", body.has_value()}});
+    co_return health;
+}
+
 gate_load gate_service::load() const
 {
     return {gate_.running() + gate_.waiting(), gate_.limit()};
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -105,6 +105,7 @@
     awaitable<result<std::string>> read_rows();
     awaitable<std::string> register_node();
     awaitable<void> read_config(cancel_event has_read);
+    awaitable<void> ask_backend();
     result<void> open_peers(const std::string& secret);
     awaitable<streamed_response> serve_peer(peer_request request);
     awaitable<streamed_response> serve_metrics(http_request request);
@@ -301,6 +302,7 @@
     following.config = &config_;
     following.fleet = &fleet_;
     following.metrics = &metrics_;
+    following.random = random_numbers();
     following.on_config = [this](const service_map& newest) {
         apply_limits(newest.limits());
     };
@@ -450,6 +452,21 @@
 {
     co_await follower_->read_first();
     has_read.cancel();
+    co_await ask_backend();
+}
+
+/// After a restart the backend server may run on; its next heartbeat can be a
+/// whole period away.
+awaitable<void> mesh_node::impl::ask_backend()
+{
+    if (!config_.current() || !monitor_.is_unknown())
+        co_return;
+    const auto path = config_.current()->health_path(settings_.service);
+    if (path.empty())
+        co_return;
+    const auto health = co_await gate_->ask_health(std::string(path));
+    if (health)
+        monitor_.hear(*health, clock::now());
 }
 
 awaitable<void> mesh_node::impl::join()
--- a/src/mesh/mesh_nodes_test.cpp
+++ b/src/mesh/mesh_nodes_test.cpp
@@ -141,6 +141,12 @@
         facts.is_sealed = fj::find_header(fields, "seal").has_value();
         return facts;
     };
+    format.read_health = [](int status, const fj::header_fields& fields)
+        -> std::optional<fj::backend_health> {
+        if (status != 200)
+            return std::nullopt;
+        return fj::backend_health{field(fields, "run"), 8};
+    };
     format.own_answer_fields = [](const std::string&,
                                   std::optional<fj::duration> retry_after) {
         fj::header_fields fields;
@@ -239,6 +245,7 @@
             co_await timer.async_wait(use_awaitable);
         }
         auto answer = text_response(status, name);
+        answer.headers.push_back({"run", name + "-run"});
         answer.headers.push_back({"id", field(fields, "id")});
         if (status == 200)
             answer.headers.push_back({"seal", "s"});
@@ -477,6 +484,22 @@
     CHECK(served <= 5 * took + 6);
 }
 
+// Guards against a node that leaves its backend server unused after a restart
+// until the next heartbeat.
+TEST_CASE("a node that starts asks its backend server about its health")
+{
+    auto& fleet = make_fleet();
+    fleet.rows->config.health_paths["films"] = "/health";
+    fleet.rows->config.routes.push_back(
+        test_fleet::make_route("films", "/films/", true));
+    fleet.rows->config.routes.back().targets = {{"films", 1}};
+    fleet.publish();
+    fleet.machines.push_back(std::make_unique<test_machine>(
+        fleet.rows, "n4", "films", milliseconds(60'000)));
+    run_until([&] { return fleet.send("/films/1", "").status == 200; });
+    CHECK(fleet.machines[3]->beats == 0);
+}
+
 TEST_CASE("a node that stops finishes what it has")
 {
     auto& fleet = make_fleet();
--- a/src/mesh/mesh_test.cpp
+++ b/src/mesh/mesh_test.cpp
@@ -1,3 +1,5 @@
+#include "config_follower.hpp"
+
 #include <fulmarjunction/mesh/backend_monitor.hpp>
 #include <fulmarjunction/mesh/call_context.hpp>
 #include <fulmarjunction/mesh/caller_entry.hpp>
@@ -6,6 +8,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <set>
+
 namespace fj = fulmarjunction;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -154,6 +158,43 @@
     CHECK(monitor.state(start + seconds(7)) == fj::backend_state::ready);
 }
 
+TEST_CASE("an answer about health only stands until the first heartbeat")
+{
+    auto monitor = make_monitor();
+    monitor.hear(fj::backend_health{"a", 8}, start);
+    CHECK(monitor.state(start) == fj::backend_state::ready);
+    CHECK(monitor.id() == "a");
+    CHECK(monitor.slots() == 8);
+    monitor.hear(beat_of("a", 10, 7, true), start);
+    CHECK(monitor.state(start) == fj::backend_state::draining);
+    monitor.hear(fj::backend_health{"a", 8}, start);
+    CHECK(monitor.state(start) == fj::backend_state::draining);
+}
+
+TEST_CASE("a goodbye counts also where only the health is known")
+{
+    auto monitor = make_monitor();
+    monitor.hear(fj::backend_health{"a", 8}, start);
+    monitor.hear(fj::backend_goodbye{"b", 10});
+    CHECK(monitor.state(start) == fj::backend_state::ready);
+    monitor.hear(fj::backend_goodbye{"a", 10});
+    CHECK(monitor.state(start) == fj::backend_state::absent);
+}
+
+// Guards against witnesses that ask the store in step, so that all of their
+// answers are equally old when it goes away.
+TEST_CASE("witnesses let the store wait for different times")
+{
+    std::set<milliseconds> waits;
+    for (std::uint64_t random = 0; random < 1000; ++random) {
+        const auto wait = fj::witness_wait(random * 7919);
+        CHECK(wait >= milliseconds(1000));
+        CHECK(wait <= milliseconds(1500));
+        waits.insert(wait);
+    }
+    CHECK(waits.size() > 100);
+}
+
 TEST_CASE("heartbeats for another service or address are foreign")
 {
     auto monitor = make_monitor();
--- a/src/routes/service_map.cpp
+++ b/src/routes/service_map.cpp
@@ -62,7 +62,8 @@
 
 service_map::service_map(service_document document)
     : version_(document.version), limits_(document.limits),
-      routes_(std::move(document.routes))
+      routes_(std::move(document.routes)),
+      health_paths_(std::move(document.health_paths))
 {
     for (std::size_t i = 0; i < routes_.size(); ++i) {
         routes_[i].host = normal_host(routes_[i].host);
@@ -102,6 +103,12 @@
     return found == by_key_hash_.end() ? nullptr : &plans_[found->second];
 }
 
+std::string_view service_map::health_path(const service_name& service) const
+{
+    const auto found = health_paths_.find(service);
+    return found == health_paths_.end() ? std::string_view() : found->second;
+}
+
 service_name split_chooser::choose(const route& where)
 {
     if (where.targets.size() == 1)
