Choose among a few targets at a cost that does not grow; exchange less often

Change: a choice draws at most six targets. Exchanges follow each other after 40 ms for each node (20 before), 1 s at least as before; lost nodes are asked as often as before. A node that has calls and answers none for 0.4 s is asked at once, which finds a silent node earlier than its turn.

Tests: fleet_test (equal parts among 200 targets, tried ones never drawn, quiet nodes).

--- a/include/fulmarjunction/fleet/placement.hpp
+++ b/include/fulmarjunction/fleet/placement.hpp
@@ -104,6 +104,11 @@
         placement_result how, duration took, std::optional<std::size_t> load,
         time_point now);
 
+    /// Returns nodes that have requests and have answered none for `limit`:
+    /// they may be gone without a word.
+    std::vector<instance_name>
+    quiet_nodes(duration limit, time_point now) const;
+
     /// Returns the number of targets of a service.
     std::size_t count(const service_name& service) const;
 
@@ -116,20 +121,31 @@
         /// Requests sent since the load was reported.
         std::size_t sent_since = 0;
         double failure_rate = 0;
+        /// Last answer, or when requests began to be outstanding.
+        time_point quiet_since{};
         time_point paused_until{};
         std::unordered_map<std::string, double> seconds_by_route;
     };
 
+    /// Targets of one service; the records are those of `records_`.
+    struct service_targets
+    {
+        std::vector<record*> own_zone;
+        std::vector<record*> other_zones;
+    };
+
     double cost(
         const record& candidate, const std::string& route_name,
         duration objective, time_point now) const;
-    std::vector<record*> sample(std::vector<record*> candidates);
+    std::vector<record*> sample(
+        const std::vector<record*>& from,
+        const std::vector<instance_name>& tried);
 
     availability_zone own_zone_;
     std::function<std::uint64_t()> random_;
     placement_settings settings_;
     std::map<instance_name, record> records_;
-    std::unordered_map<service_name, std::vector<instance_name>> by_service_;
+    std::unordered_map<service_name, service_targets> by_service_;
 };
 
 } // namespace fulmarjunction
--- a/include/fulmarjunction/mesh/fleet_link.hpp
+++ b/include/fulmarjunction/mesh/fleet_link.hpp
@@ -49,6 +49,9 @@
         std::function<void()> newer_config_seen;
         /// Returns the report of this node as it stands.
         std::function<node_report()> own_report;
+        /// Returns nodes that have calls of this one and have answered none
+        /// for a while.
+        std::function<std::vector<instance_name>(duration limit)> quiet_nodes;
     };
 
     fleet_link(boost::asio::any_io_executor executor, parts wiring);
@@ -78,8 +81,10 @@
         bool is_busy = false;
         time_point next_at{};
         unsigned silent_exchanges = 0;
+        time_point answered_at{};
     };
 
+    void ask_quiet_nodes(time_point now);
     void tick(time_point now);
     bool is_due(
         const fleet_member& member, const partner& with, bool is_witness,
--- a/src/fleet/fleet_test.cpp
+++ b/src/fleet/fleet_test.cpp
@@ -211,3 +211,64 @@
         places.choose("books", "r", seconds(1), {}, start)->backend_id ==
         "run-2");
 }
+
+// Guards against a choice whose cost grows with the number of targets, and
+// against one that favours some of many equal targets.
+TEST_CASE("equal targets of a large service get equal parts")
+{
+    constexpr int targets = 200;
+    constexpr int requests = 40'000;
+    fj::placement places("east", random_numbers());
+    std::multimap<fj::service_name, fj::placement_target> all;
+    for (int i = 0; i < targets; ++i)
+        all.emplace("books", target_of("n" + std::to_string(i)));
+    places.set_targets(all);
+    std::map<std::string, int> counts;
+    for (int i = 0; i < requests; ++i) {
+        const auto chosen = *places.choose("books", "r", {}, {}, start);
+        ++counts[chosen.node];
+        places.ended(chosen, "r", fj::placement_result::served, {}, 0, start);
+    }
+    CHECK(counts.size() == targets);
+    for (const auto& [node, count] : counts) {
+        CHECK(count > requests / targets / 2);
+        CHECK(count < requests / targets * 2);
+    }
+}
+
+TEST_CASE("targets that were tried are never drawn again")
+{
+    fj::placement places("east", random_numbers());
+    std::multimap<fj::service_name, fj::placement_target> all;
+    for (int i = 0; i < 6; ++i)
+        all.emplace("books", target_of("n" + std::to_string(i)));
+    places.set_targets(all);
+    std::vector<fj::instance_name> tried;
+    for (int i = 0; i < 6; ++i) {
+        const auto chosen = places.choose("books", "r", {}, tried, start);
+        REQUIRE(chosen);
+        CHECK(
+            std::find(tried.begin(), tried.end(), chosen->node) == tried.end());
+        tried.push_back(chosen->node);
+    }
+    CHECK_FALSE(places.choose("books", "r", {}, tried, start));
+}
+
+TEST_CASE("a node that has requests and answers none is quiet")
+{
+    fj::placement places("east", random_numbers());
+    places.set_targets({{"books", target_of("one")}});
+    const auto limit = milliseconds(400);
+    CHECK(places.quiet_nodes(limit, start).empty());
+    const auto first = *places.choose("books", "r", {}, {}, start);
+    const auto second = *places.choose("books", "r", {}, {}, start);
+    CHECK(places.quiet_nodes(limit, start + milliseconds(300)).empty());
+    CHECK(places.quiet_nodes(limit, start + limit).size() == 1);
+    // An answer shows that it is there; a call that broke off does not.
+    places.ended(
+        first, "r", fj::placement_result::served, {}, 1, start + limit);
+    CHECK(places.quiet_nodes(limit, start + limit).empty());
+    places.ended(
+        second, "r", fj::placement_result::failed, {}, {}, start + 2 * limit);
+    CHECK(places.quiet_nodes(limit, start + 2 * limit).empty());
+}
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 /// Targets of each kind, own availability zone and others, that are compared
-/// for one request. Two choices suffice to even out the load, and the cost
-/// of a choice does not grow with the fleet.
+/// for one request. Two choices suffice to even out the load, and the cost of
+/// a choice does not grow with the fleet.
 constexpr std::size_t sample_size = 3;
 
 /// Weight of the newest sample in the measured times and failure rates.
@@ -44,7 +44,9 @@
         if (current.target.load != target.load)
             current.sent_since = 0;
         current.target = target;
-        by_service_[service].push_back(target.node);
+        auto& all = by_service_[service];
+        const bool is_near = target.zone == own_zone_;
+        (is_near ? all.own_zone : all.other_zones).push_back(&current);
     }
     records_ = std::move(kept);
 }
@@ -61,7 +63,9 @@
 std::size_t placement::count(const service_name& service) const
 {
     const auto found = by_service_.find(service);
-    return found == by_service_.end() ? 0 : found->second.size();
+    if (found == by_service_.end())
+        return 0;
+    return found->second.own_zone.size() + found->second.other_zones.size();
 }
 
 double placement::cost(
@@ -88,18 +92,34 @@
     return total;
 }
 
-std::vector<placement::record*>
-placement::sample(std::vector<record*> candidates)
+/// Draws a few targets that have not been tried.
+std::vector<placement::record*> placement::sample(
+    const std::vector<record*>& from, const std::vector<instance_name>& tried)
 {
-    for (std::size_t i = candidates.size(); i > 1; --i)
-        std::swap(candidates[i - 1], candidates[random_() % i]);
-    std::size_t own = 0;
-    std::size_t others = 0;
-    std::erase_if(candidates, [&](const record* one) {
-        auto& taken = one->target.zone == own_zone_ ? own : others;
-        return ++taken > sample_size;
-    });
-    return candidates;
+    std::vector<record*> drawn;
+    const auto is_usable = [&](const record* one) {
+        return std::find(tried.begin(), tried.end(), one->target.node) ==
+                   tried.end() &&
+               std::find(drawn.begin(), drawn.end(), one) == drawn.end();
+    };
+    const auto next = [&](std::size_t at) { return (at + 1) % from.size(); };
+    if (from.size() <= sample_size + tried.size()) {
+        // All of them, from a random one on: the first of equals is taken.
+        auto at = from.empty() ? 0 : random_() % from.size();
+        for (std::size_t i = 0; i < from.size(); ++i, at = next(at)) {
+            if (is_usable(from[at]))
+                drawn.push_back(from[at]);
+        }
+        return drawn;
+    }
+    // More are usable than are wanted, so each walk ends.
+    while (drawn.size() < sample_size) {
+        auto at = random_() % from.size();
+        while (!is_usable(from[at]))
+            at = next(at);
+        drawn.push_back(from[at]);
+    }
+    return drawn;
 }
 
 std::optional<placement::choice> placement::choose(
@@ -109,22 +129,22 @@
     const auto found = by_service_.find(service);
     if (found == by_service_.end())
         return std::nullopt;
-    std::vector<record*> candidates;
-    for (const auto& node : found->second) {
-        if (std::find(tried.begin(), tried.end(), node) == tried.end())
-            candidates.push_back(&records_.at(node));
-    }
-    if (candidates.empty())
-        return std::nullopt;
     record* best = nullptr;
     double least = 0;
-    for (auto* one : sample(std::move(candidates))) {
-        const auto its_cost = cost(*one, route_name, objective, now);
-        if (best != nullptr && its_cost >= least)
-            continue;
-        best = one;
-        least = its_cost;
+    for (const auto* group :
+         {&found->second.own_zone, &found->second.other_zones}) {
+        for (auto* one : sample(*group, tried)) {
+            const auto its_cost = cost(*one, route_name, objective, now);
+            if (best != nullptr && its_cost >= least)
+                continue;
+            best = one;
+            least = its_cost;
+        }
     }
+    if (best == nullptr)
+        return std::nullopt;
+    if (best->outstanding == 0)
+        best->quiet_since = now;
     ++best->outstanding;
     ++best->sent_since;
     return choice{best->target.node, best->target.backend_id};
@@ -144,6 +164,7 @@
     if (load) {
         current.target.load = *load;
         current.sent_since = 0;
+        current.quiet_since = now;
     }
     const bool has_run =
         how == placement_result::served || how == placement_result::failed;
@@ -163,4 +184,15 @@
     }
 }
 
+std::vector<instance_name>
+placement::quiet_nodes(duration limit, time_point now) const
+{
+    std::vector<instance_name> quiet;
+    for (const auto& [name, current] : records_) {
+        if (current.outstanding > 0 && now - current.quiet_since >= limit)
+            quiet.push_back(name);
+    }
+    return quiet;
+}
+
 } // namespace fulmarjunction
--- a/src/mesh/fleet_link.cpp
+++ b/src/mesh/fleet_link.cpp
@@ -24,8 +24,11 @@
 
 constexpr milliseconds tick_period(250);
 constexpr milliseconds shortest_period(1000);
-/// Exchanges of one node stay below a hundred a second in a large fleet.
-constexpr milliseconds period_for_each_node(20);
+/// Exchanges of one node stay below fifty a second in a large fleet. Nodes
+/// that have calls of this one show by their answers that they are there.
+constexpr milliseconds period_for_each_node(40);
+/// A node that answers no call for so long is asked at once.
+constexpr milliseconds quiet_limit(400);
 constexpr milliseconds exchange_timeout(500);
 /// Periods without a report after which a node asks by itself.
 constexpr int patient_periods = 3;
@@ -81,9 +84,12 @@
 {
     if (with.is_busy || now < with.next_at)
         return false;
+    // One that is lost may come back at any moment.
+    if (!member.is_reachable)
+        return true;
     const bool is_ours = parts_.fleet->self() < member.report.node;
     const bool is_overdue = now - member.heard_at >= patient_periods * period();
-    return is_ours || is_witness || is_overdue || !member.is_reachable;
+    return is_ours || is_witness || is_overdue;
 }
 
 void fleet_link::tick(time_point now)
@@ -106,10 +112,27 @@
     }
     for (const auto& member : due) {
         const auto& name = member.report.node;
-        partners_[name].next_at =
-            now + (is_witness(name) ? duration(shortest_period) : period());
+        auto pause = is_witness(name) ? duration(shortest_period) : period();
+        if (!member.is_reachable)
+            pause = std::max<duration>(shortest_period, pause / 2);
+        partners_[name].next_at = now + pause;
         begin_exchange(member);
     }
+    ask_quiet_nodes(now);
+}
+
+/// One exchange tells whether a node that answers nothing is there.
+void fleet_link::ask_quiet_nodes(time_point now)
+{
+    for (const auto& name : parts_.quiet_nodes(quiet_limit)) {
+        const auto* member = parts_.fleet->find(name);
+        if (member == nullptr || !member->is_reachable)
+            continue;
+        const auto& with = partners_[name];
+        // Calls may take long; then the last exchange stands for a while.
+        if (!with.is_busy && now - with.answered_at >= shortest_period)
+            begin_exchange(*member);
+    }
 }
 
 void fleet_link::announce()
@@ -144,6 +167,7 @@
         co_return;
     }
     with.silent_exchanges = 0;
+    with.answered_at = clock::now();
     const auto taken = take_message(answer.value(), asked_at);
     if (!taken) {
         log(log_level::warning, "exchange_malformed",
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -320,6 +320,9 @@
             follower_->check_now();
     };
     link.own_report = [this] { return reports_->own_report(); };
+    link.quiet_nodes = [this](duration limit) {
+        return places_.quiet_nodes(limit, clock::now());
+    };
     link.peers = [this] { return peer_client_.get(); };
     link_ = std::make_unique<fleet_link>(executor_, std::move(link));
 
