--- a/src/suspects/suspect_list.cpp
+++ b/src/suspects/suspect_list.cpp
@@ -182,7 +182,7 @@
 suspect_decision suspect_list::decide_here(
     fingerprint print, bool after_backend_failure, time_point now) const
 {
-    const auto decision = decide(print, {self_}, now);
+    auto decision = decide(print, {self_}, now);
     if (after_backend_failure && decision.action == suspect_action::run_alone)
         return {};
     return decision;
