Ask about health only while the settings of the node are new

An answer about health names no service. A node that waits long for its configuration could ask an address that has gone to another service meanwhile; heartbeats name their service.

--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -146,6 +146,7 @@
     std::unique_ptr<http_server> heartbeat_server_;
     std::unique_ptr<http_server> metrics_server_;
     std::vector<timer_service::subscription> subscriptions_;
+    time_point started_at_ = clock::now();
     bool has_joined_ = false;
     bool stopping_ = false;
     /// Peers have been told to send nothing more.
@@ -459,10 +460,13 @@
 }
 
 /// After a restart the backend server may run on; its next heartbeat can be a
-/// whole period away.
+/// whole period away. An answer names no service, so it counts only while the
+/// settings are new: later the address may have gone to another service.
 awaitable<void> mesh_node::impl::ask_backend()
 {
-    if (!config_.current() || !monitor_.is_unknown())
+    const bool is_late =
+        clock::now() - started_at_ > settings_.heartbeat_period;
+    if (is_late || stopping_ || !config_.current() || !monitor_.is_unknown())
         co_return;
     const auto path = config_.current()->health_path(settings_.service);
     if (path.empty())
