--- /dev/null
+++ b/src/mesh/mesh_test_fleet.hpp
@@ -0,0 +1,441 @@
+/// @file
+/// Fixture of the mesh tests: complete nodes on loopback, with an in-memory
+/// store and test backend servers.
+#pragma once
+
+#include <fulmarjunction/mesh/mesh_node.hpp>
+
+#include <test_main/transport_test_support.hpp>
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <unistd.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace fulmarjunction::test {
+
+using std::chrono::milliseconds;
+
+/// Rows of the store, shared by all nodes of a test.
+struct shared_rows
+{
+    fj::service_document config;
+    fj::store_position position = 1;
+    std::map<std::string, fj::node_report> nodes;
+    std::string secret;
+    fj::incarnation_number last_incarnation = 0;
+    bool is_unavailable = false;
+};
+
+class memory_store : public fj::fleet_store
+{
+public:
+    explicit memory_store(std::shared_ptr<shared_rows> rows)
+        : rows_(std::move(rows))
+    {
+    }
+
+    fj::awaitable<fj::result<fj::config_read>> read_config() override
+    {
+        if (rows_->is_unavailable)
+            co_return fj::fail(fj::errc::unavailable, "read");
+        co_return read();
+    }
+
+    fj::awaitable<fj::result<fj::config_read>>
+    follow_config(fj::store_position from, milliseconds wait) override
+    {
+        const auto until = fj::clock::now() + wait;
+        while (!rows_->is_unavailable && rows_->position == from &&
+               fj::clock::now() < until) {
+            asio::steady_timer timer(io(), milliseconds(10));
+            co_await timer.async_wait(use_awaitable);
+        }
+        if (rows_->is_unavailable)
+            co_return fj::fail(fj::errc::unavailable, "follow");
+        auto found = read();
+        if (rows_->position == from)
+            found.document.reset();
+        co_return found;
+    }
+
+    fj::awaitable<fj::result<fj::fleet_rows>> read_fleet() override
+    {
+        fj::fleet_rows known;
+        if (!rows_->secret.empty())
+            known.secret = rows_->secret;
+        for (const auto& [name, report] : rows_->nodes)
+            known.nodes.push_back(report);
+        co_return known;
+    }
+
+    fj::awaitable<fj::result<std::string>> create_secret() override
+    {
+        if (rows_->secret.empty())
+            rows_->secret = "0123456789abcdef0123456789abcdef";
+        co_return rows_->secret;
+    }
+
+    fj::awaitable<fj::result<fj::incarnation_number>>
+    put_node(const fj::node_report& self) override
+    {
+        auto& row = rows_->nodes[self.node];
+        row = self;
+        row.incarnation = ++rows_->last_incarnation;
+        co_return row.incarnation;
+    }
+
+    fj::awaitable<fj::result<void>>
+    remove_node(const fj::node_report& row) override
+    {
+        rows_->nodes.erase(row.node);
+        co_return boost::outcome_v2::success();
+    }
+
+private:
+    fj::config_read read() const
+    {
+        fj::config_read found;
+        found.document = rows_->config;
+        found.position = rows_->position;
+        found.store_time = std::chrono::duration_cast<milliseconds>(
+            fj::clock::now().time_since_epoch());
+        return found;
+    }
+
+    std::shared_ptr<shared_rows> rows_;
+};
+
+inline std::string field(const fj::header_fields& fields, std::string_view name)
+{
+    return std::string(fj::find_header(fields, name).value_or(""));
+}
+
+/// Wire format of the test, with simple field names.
+inline fj::wire_format make_format()
+{
+    fj::wire_format format;
+    format.take_claims = [](fj::header_fields& fields) {
+        fj::caller_claims claims;
+        claims.request_id = field(fields, "id");
+        if (const auto key = fj::find_header(fields, "key"))
+            claims.key = std::string(*key);
+        fj::remove_header(fields, "key");
+        fj::remove_header(fields, "account");
+        return claims;
+    };
+    format.request_id = [](const fj::header_fields& fields) {
+        return field(fields, "id");
+    };
+    format.add_backend_fields = [](fj::header_fields& fields,
+                                   const fj::backend_fields& values) {
+        fields.push_back({"account", values.account});
+        fields.push_back({"backend", values.backend_id});
+        fields.push_back({"from", values.caller_service});
+    };
+    format.take_backend_facts = [](int, fj::header_fields& fields) {
+        fj::backend_facts facts;
+        facts.request_id = field(fields, "id");
+        facts.not_run = fj::find_header(fields, "not-run").has_value();
+        facts.is_sealed = fj::find_header(fields, "seal").has_value();
+        return facts;
+    };
+    format.read_health = [](int status, const fj::header_fields& fields)
+        -> std::optional<fj::backend_health> {
+        if (status != 200)
+            return std::nullopt;
+        return fj::backend_health{field(fields, "run"), 8};
+    };
+    format.node_answer_fields = [](const std::string&,
+                                   std::optional<fj::duration> retry_after) {
+        fj::header_fields fields;
+        if (retry_after)
+            fields.push_back({"retry-after", "1"});
+        return fields;
+    };
+    return format;
+}
+
+/// Returns a free address. Its port lies below the ephemeral ports, so that no
+/// outgoing connection takes it in the meantime.
+inline tcp::endpoint free_address()
+{
+    constexpr unsigned first_port = 12'000;
+    constexpr unsigned ports = 18'000;
+    static auto next = static_cast<unsigned>(getpid()) * 97;
+    for (;;) {
+        const auto port = first_port + next++ % ports;
+        tcp::acceptor acceptor(io());
+        tcp::endpoint address(
+            asio::ip::address_v4::loopback(),
+            static_cast<unsigned short>(port));
+        acceptor.open(address.protocol());
+        acceptor.set_option(tcp::acceptor::reuse_address(true));
+        boost::system::error_code taken;
+        acceptor.bind(address, taken);
+        if (!taken)
+            return address;
+    }
+}
+
+/// A backend server with its node.
+struct test_instance
+{
+    test_instance(
+        const std::shared_ptr<shared_rows>& rows, std::string node,
+        std::string service, milliseconds revocation_bound)
+        : name(std::move(node))
+    {
+        settings.backend = free_address();
+        start_backend();
+        settings.name = name;
+        settings.zone = "east";
+        settings.service = std::move(service);
+        settings.callers = free_address();
+        settings.ready = free_address();
+        settings.heartbeats = free_address();
+        settings.peers = free_address();
+        settings.metrics = free_address();
+        settings.revocation_bound = revocation_bound;
+        settings.log_lines = 0;
+        fj::mesh_adapter adapter;
+        adapter.format = make_format();
+        adapter.store = std::make_unique<memory_store>(rows);
+        adapter.ready_handler = [this](std::function<bool()> ready) {
+            is_ready = std::move(ready);
+            return fj::http_handler();
+        };
+        adapter.backend_handler = [this](fj::backend_hooks new_hooks) {
+            hooks = std::move(new_hooks);
+            return fj::http_handler();
+        };
+        process =
+            std::make_unique<fj::mesh_node>(io(), settings, std::move(adapter));
+        REQUIRE(process->start());
+    }
+
+    /// Starts a process of the backend server.
+    void start_backend()
+    {
+        ++backend_starts;
+        backend = std::make_unique<fj::http_server>(
+            io().get_executor(), fj::http_limits{},
+            [this](fj::http_request request) {
+                return serve(std::move(request));
+            },
+            [](int code) { return text_response(code, ""); });
+        REQUIRE(backend->listen(settings.backend));
+    }
+
+    /// Ends the process of the backend server without an announcement and
+    /// starts another one after `restart_delay`.
+    void crash_backend()
+    {
+        ++crashes;
+        backend->close();
+        const auto timer =
+            std::make_shared<asio::steady_timer>(io(), restart_delay);
+        timer->async_wait([this, timer](const boost::system::error_code&) {
+            start_backend();
+            send_heartbeat();
+        });
+    }
+
+    /// Returns the id of the current process of the backend server.
+    std::string backend_id() const
+    {
+        return backend_starts == 1 ? name + "-run"
+                                   : fmt::format("{}-{}", name, backend_starts);
+    }
+
+    void send_heartbeat(bool is_draining = false)
+    {
+        fj::backend_heartbeat heartbeat;
+        heartbeat.id = backend_id();
+        heartbeat.service = settings.service;
+        heartbeat.address =
+            fmt::format("127.0.0.1:{}", settings.backend.port());
+        heartbeat.slots = 8;
+        heartbeat.start_time_ms = backend_starts;
+        heartbeat.sequence = ++heartbeats;
+        heartbeat.is_draining = is_draining;
+        CHECK(hooks.heartbeat(heartbeat) == fj::heartbeat_verdict::accepted);
+    }
+
+    fj::awaitable<fj::streamed_response> serve(fj::http_request request)
+    {
+        ++runs;
+        const auto& fields = request.message.headers;
+        last_headers = fields;
+        const bool is_crashing =
+            request.message.target.find("crash") != std::string::npos;
+        if (service_time > milliseconds(0)) {
+            asio::steady_timer timer(io(), service_time);
+            co_await timer.async_wait(use_awaitable);
+        }
+        if (is_crashing)
+            crash_backend();
+        auto answer = text_response(status, name);
+        answer.headers.push_back({"run", backend_id()});
+        answer.headers.push_back({"id", field(fields, "id")});
+        if (status == 200)
+            answer.headers.push_back({"seal", "s"});
+        else if (status == 503)
+            answer.headers.push_back({"not-run", "1"});
+        co_return answer;
+    }
+
+    std::string name;
+    fj::mesh_settings settings;
+    std::unique_ptr<fj::http_server> backend;
+    std::int64_t backend_starts = 0;
+    milliseconds restart_delay{300};
+    int crashes = 0;
+    fj::backend_hooks hooks;
+    std::function<bool()> is_ready;
+    std::unique_ptr<fj::mesh_node> process;
+    std::uint64_t heartbeats = 0;
+    int runs = 0;
+    int status = 200;
+    milliseconds service_time{};
+    fj::header_fields last_headers;
+};
+
+/// Three nodes: one of the service `shop`, two of `books`.
+struct test_fleet
+{
+    explicit test_fleet(milliseconds revocation_bound = milliseconds(60'000))
+    {
+        rows->config.version = 1;
+        rows->config.routes = {
+            make_route("books", "/books/", false),
+            make_route("open", "/open/", true)};
+        fj::account_entry north;
+        north.plan.name = "north";
+        north.keys = {"key-1"};
+        rows->config.accounts = {north};
+        const std::pair<const char*, const char*> layout[] = {
+            {"n1", "shop"}, {"n2", "books"}, {"n3", "books"}};
+        for (const auto& [name, service] : layout) {
+            instances.push_back(std::make_unique<test_instance>(
+                rows, name, service, revocation_bound));
+        }
+        run_until([this] {
+            for (const auto& instance : instances) {
+                if (!instance->is_ready())
+                    return false;
+            }
+            return true;
+        });
+        for (const auto& instance : instances)
+            instance->send_heartbeat();
+        run_until([this] { return send("/open/x", "").status == 200; });
+        for (const auto& instance : instances)
+            instance->runs = 0;
+    }
+
+    /// Adds a node with its backend server and waits until it is ready.
+    test_instance& add_instance(
+        const std::string& name, const std::string& service,
+        milliseconds revocation_bound = milliseconds(60'000))
+    {
+        instances.push_back(std::make_unique<test_instance>(
+            rows, name, service, revocation_bound));
+        auto& added = *instances.back();
+        run_until([&] { return added.is_ready(); });
+        added.send_heartbeat();
+        return added;
+    }
+
+    static fj::route
+    make_route(std::string name, std::string prefix, bool is_public)
+    {
+        fj::route new_route;
+        new_route.name = std::move(name);
+        new_route.host = "h";
+        new_route.prefix = std::move(prefix);
+        new_route.is_public = is_public;
+        new_route.attempts = 2;
+        new_route.timeout = milliseconds(20'000);
+        new_route.objective = milliseconds(10'000);
+        new_route.targets = {{"books", 1}};
+        return new_route;
+    }
+
+    struct answer
+    {
+        int status = 0;
+        std::string body;
+    };
+
+    /// Sends a request to a node and reads the complete answer.
+    answer send(
+        const std::string& path, const std::string& key, std::size_t index = 0,
+        std::string method = "GET")
+    {
+        return run(exchange(path, key, index, std::move(method)));
+    }
+
+    fj::awaitable<answer> exchange(
+        std::string path, std::string key, std::size_t index,
+        std::string method)
+    {
+        fj::http_client client(
+            io().get_executor(), instances[index]->settings.callers,
+            fj::http_limits{});
+        fj::streamed_request request;
+        request.method = std::move(method);
+        request.target = std::move(path);
+        request.headers = {{"host", "h"}, {"id", fmt::format("r{}", ++sent)}};
+        request.headers.push_back({"account", "forged"});
+        if (!key.empty())
+            request.headers.push_back({"key", key});
+        request.content_length = 0;
+        request.body = fj::empty_body();
+        auto head = co_await client.send(std::move(request), far_deadline());
+        answer received;
+        if (!head)
+            co_return received;
+        received.status = head.value().status;
+        auto body =
+            co_await fj::read_body(std::move(head.value().body), 1 << 20);
+        received.body = body ? body.value() : "broken";
+        co_return received;
+    }
+
+    /// Publishes the changed configuration and waits until all nodes have
+    /// applied it. An added route shows which have.
+    void publish()
+    {
+        const auto marker = fmt::format("/v{}/", ++rows->config.version);
+        rows->config.routes.push_back(make_route(marker, marker, true));
+        ++rows->position;
+        for (std::size_t index = 0; index < instances.size(); ++index)
+            run_until([&] { return send(marker, "", index).status != 404; });
+        for (const auto& instance : instances)
+            instance->runs = 0;
+    }
+
+    std::shared_ptr<shared_rows> rows = std::make_shared<shared_rows>();
+    std::vector<std::unique_ptr<test_instance>> instances;
+    int sent = 0;
+};
+
+/// Creates a fleet that is never destroyed, since its nodes have work pending
+/// on the I/O context until the process ends.
+inline test_fleet&
+make_fleet(milliseconds revocation_bound = milliseconds(60'000))
+{
+    // The context is never destroyed either.
+    static auto& all = *new std::vector<std::unique_ptr<test_fleet>>();
+    all.push_back(std::make_unique<test_fleet>(revocation_bound));
+    return *all.back();
+}
+
+} // namespace fulmarjunction::test
