serving: an answer of known length ends with its last byte

Callers saw nothing of it; the gates did. A server that writes a body of known length reads no further than that length, so the end of the body was never reported and the answer counted as broken off when its reader was destroyed. At a gate whose caller sits on the same node, the service time of such answers was not sampled, and a suspect was never cleared by them.

serving_test: "a body of known length ends with its last byte".

--- a/include/fulmarjunction/serving/body.hpp
+++ b/include/fulmarjunction/serving/body.hpp
@@ -8,7 +8,9 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -45,7 +47,11 @@
 using body_end_hook = std::function<void(bool is_complete)>;
 
 /// Returns a reader that reports the end of the body.
-body_reader with_end_hook(body_reader body, body_end_hook at_end);
+/// @param length length of the body, if known; the body then ends with its last
+///        byte, since its receiver need not read any further
+body_reader with_end_hook(
+    body_reader body, std::optional<std::uint64_t> length,
+    body_end_hook at_end);
 
 /// Returns a reader that fails with `errc::timeout` when a read takes longer
 /// than `limit`. Only progress is limited, not the total time of a long answer.
--- a/src/mesh/gate_service.cpp
+++ b/src/mesh/gate_service.cpp
@@ -318,7 +318,8 @@
         write_downstream_refusal(
             answer.headers, refused_calls_.service(clock::now()));
     answer.body = with_end_hook(
-        std::move(answer.body), [held = std::move(held)](bool is_complete) {
+        std::move(answer.body), answer.content_length,
+        [held = std::move(held)](bool is_complete) {
             if (is_complete)
                 held->mark_served();
         });
--- a/src/serving/backend_gate.cpp
+++ b/src/serving/backend_gate.cpp
@@ -347,9 +347,10 @@
     write_answer_metadata(answer.headers, metadata_of(guard->request()));
     auto limited = with_idle_limit(
         std::move(answer.body), executor_, body_idle_limit, "backend");
-    answer.body = with_end_hook(std::move(limited), [guard](bool complete) {
-        guard->ended(complete ? completion::succeeded : completion::failed);
-    });
+    answer.body = with_end_hook(
+        std::move(limited), answer.content_length, [guard](bool complete) {
+            guard->ended(complete ? completion::succeeded : completion::failed);
+        });
     co_return answer;
 }
 
--- a/src/serving/body.cpp
+++ b/src/serving/body.cpp
@@ -153,9 +153,13 @@
 class end_reporter
 {
 public:
-    end_reporter(body_reader body, body_end_hook at_end)
-        : body_(std::move(body)), at_end_(std::move(at_end))
+    end_reporter(
+        body_reader body, std::optional<std::uint64_t> length,
+        body_end_hook at_end)
+        : body_(std::move(body)), remaining_(length), at_end_(std::move(at_end))
     {
+        if (remaining_ == std::uint64_t{0})
+            report(true);
     }
     end_reporter(const end_reporter&) = delete;
     end_reporter& operator=(const end_reporter&) = delete;
@@ -167,12 +171,20 @@
         auto size = co_await self->body_(buffer);
         if (!size)
             self->report(false);
-        else if (size.value() == 0)
+        else if (self->has_ended_after(size.value()))
             self->report(true);
         co_return size;
     }
 
 private:
+    bool has_ended_after(std::size_t size)
+    {
+        if (size == 0 || !remaining_)
+            return size == 0;
+        *remaining_ -= std::min<std::uint64_t>(*remaining_, size);
+        return *remaining_ == 0;
+    }
+
     void report(bool is_complete)
     {
         // The inner body is destroyed first, so that its connection is closed
@@ -185,6 +197,8 @@
     }
 
     body_reader body_;
+    /// Bytes until the end of a body of known length.
+    std::optional<std::uint64_t> remaining_;
     body_end_hook at_end_;
 };
 
@@ -201,10 +215,11 @@
     };
 }
 
-body_reader with_end_hook(body_reader body, body_end_hook at_end)
+body_reader with_end_hook(
+    body_reader body, std::optional<std::uint64_t> length, body_end_hook at_end)
 {
-    auto reporter =
-        std::make_shared<end_reporter>(std::move(body), std::move(at_end));
+    auto reporter = std::make_shared<end_reporter>(
+        std::move(body), length, std::move(at_end));
     return [reporter](asio::mutable_buffer buffer) {
         return end_reporter::read(reporter, buffer);
     };
--- a/src/serving/dispatcher.cpp
+++ b/src/serving/dispatcher.cpp
@@ -171,7 +171,8 @@
             bool) { instances->ended(instance, observed, clock::now()); };
     const auto unspent = metadata.value().retries_unspent;
     if (metadata.value().request_outcome == outcome::answered) {
-        answer.body = with_end_hook(std::move(answer.body), record_end);
+        answer.body = with_end_hook(
+            std::move(answer.body), answer.content_length, record_end);
         attempt answered{std::move(answer), unspent};
         answered.answer.downstream = metadata.value().downstream;
         answered.answer.level = metadata.value().level.value_or(0);
--- a/src/serving/serving_test.cpp
+++ b/src/serving/serving_test.cpp
@@ -202,16 +202,41 @@
 {
     std::vector<bool> ends;
     const auto record_end = [&](bool complete) { ends.push_back(complete); };
-    CHECK(read_all(fj::with_end_hook(fj::string_body("abc"), record_end)));
+    CHECK(read_all(
+        fj::with_end_hook(fj::string_body("abc"), std::nullopt, record_end)));
     CHECK(ends == std::vector<bool>{true});
     ends.clear();
     {
         const auto dropped =
-            fj::with_end_hook(fj::string_body("abc"), record_end);
+            fj::with_end_hook(fj::string_body("abc"), std::nullopt, record_end);
     }
     CHECK(ends == std::vector<bool>{false});
 }
 
+// Guards against answers that count as broken off because their receiver
+// stopped at the length that they had stated.
+TEST_CASE("a body of known length ends with its last byte", "[serving]")
+{
+    std::vector<bool> ends;
+    const auto record_end = [&](bool complete) { ends.push_back(complete); };
+    {
+        const auto empty = fj::with_end_hook(fj::empty_body(), 0, record_end);
+    }
+    CHECK(ends == std::vector<bool>{true});
+    ends.clear();
+    {
+        auto whole = fj::with_end_hook(fj::string_body("abc"), 3, record_end);
+        char buffer[2];
+        const auto read = [&]() {
+            return run(optional_of(whole(asio::buffer(buffer))))->value();
+        };
+        CHECK(read() == 2);
+        CHECK(ends.empty());
+        CHECK(read() == 1);
+    }
+    CHECK(ends == std::vector<bool>{true});
+}
+
 TEST_CASE("a token of a finished request is unknown", "[serving]")
 {
     asio::io_context context;
