suspects: move the format of reports out of the daemon

Nodes on a shared store are about to send the same reports. The limit of one message is 512 reports in place of 64; a probe still holds eight.

--- a/src/daemon/suspect_reports.hpp
+++ b/include/fulmarjunction/suspects/suspect_reports.hpp
@@ -9,10 +9,15 @@
 #include <boost/json/value.hpp>
 
 #include <cstddef>
+#include <string_view>
 #include <vector>
 
 namespace fulmarjunction {
 
+/// Name of the control message whose body is a list of reports.
+inline constexpr std::string_view suspects_message = "suspects";
+/// Maximum number of reports in one message.
+inline constexpr std::size_t max_suspect_reports = 512;
 /// Maximum number of reports in one probe, whose sections hold about 1 KiB.
 inline constexpr std::size_t suspect_reports_per_probe = 8;
 
--- a/src/daemon/gossip.cpp
+++ b/src/daemon/gossip.cpp
@@ -1,7 +1,7 @@
 #include "gossip.hpp"
 
-#include "suspect_reports.hpp"
 #include <fulmarjunction/peer/control.hpp>
+#include <fulmarjunction/suspects/suspect_reports.hpp>
 
 #include <fulmarjunction/core/log.hpp>
 
@@ -149,7 +149,7 @@
 {
     const auto deadline = clock::now() + message_timeout;
     const auto sent = co_await send_control(
-        peers_, to, "suspects", std::move(text), deadline);
+        peers_, to, std::string(suspects_message), std::move(text), deadline);
     if (!sent) {
         log(log_level::debug, "suspects_not_delivered",
             {{"peer", to.name}, {"error", to_string(sent.error())}});
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -12,6 +12,7 @@
 #include <fulmarjunction/platform/bounded_table_service.hpp>
 #include <fulmarjunction/platform/http_platform.hpp>
 #include <fulmarjunction/serving/egress.hpp>
+#include <fulmarjunction/suspects/suspect_reports.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -459,7 +460,7 @@
         return gossip_->answer_leave(from, text);
     if (name == "rows")
         return gossip_->answer_rows(from, text);
-    if (name == "suspects")
+    if (name == suspects_message)
         return gossip_->answer_suspects(text);
     if (name == "borrow")
         return token_gate_->answer_borrow(from, text);
--- a/src/daemon/node_state.cpp
+++ b/src/daemon/node_state.cpp
@@ -1,6 +1,6 @@
 #include "node_state.hpp"
 
-#include "suspect_reports.hpp"
+#include <fulmarjunction/suspects/suspect_reports.hpp>
 
 #include <fulmarjunction/core/log.hpp>
 
--- a/src/daemon/suspect_reports.cpp
+++ b/src/suspects/suspect_reports.cpp
@@ -1,4 +1,4 @@
-#include "suspect_reports.hpp"
+#include <fulmarjunction/suspects/suspect_reports.hpp>
 
 #include <fulmarjunction/core/object_reader.hpp>
 
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr std::size_t max_reports = 64;
 constexpr std::size_t max_crashes = 16;
 constexpr std::size_t max_name_bytes = 128;
 constexpr std::int64_t max_remaining_ms = 3'600'000;
@@ -63,7 +62,7 @@
 parse_suspect_reports(const boost::json::value& section)
 {
     const auto* list = section.if_array();
-    if (list == nullptr || list->size() > max_reports)
+    if (list == nullptr || list->size() > max_suspect_reports)
         return fail(errc::malformed, "parse suspect reports");
     std::vector<suspect_report> reports;
     for (const auto& item : *list) {
