serving: find a crash that follows a lost connection

A check whether the backend server still listens was shared by all connections that broke within 200 ms, also when it had found the server alive. A crash within that time after a lost connection was missed: no request became suspect for it, so each could crash one server more.

Only a check under way, or one that has found a crash, is shared now.

--- a/include/fulmarjunction/serving/backend_gate.hpp
+++ b/include/fulmarjunction/serving/backend_gate.hpp
@@ -10,7 +10,9 @@
 #include <fulmarjunction/serving/body.hpp>
 #include <fulmarjunction/serving/cancel_event.hpp>
 #include <fulmarjunction/serving/context_codec.hpp>
+#include <fulmarjunction/serving/crash_detector.hpp>
 #include <fulmarjunction/serving/in_flight.hpp>
+#include <fulmarjunction/serving/suspect_turns.hpp>
 #include <fulmarjunction/suspects/suspects.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -20,7 +22,6 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -96,19 +97,17 @@
     awaitable<streamed_response>
     pass_on(std::shared_ptr<run_guard> guard, streamed_request request);
     streamed_response failed_answer(run_guard& guard, const error& problem);
-    awaitable<bool> wait_for_suspect_gate(
-        std::uint64_t id, bool alone, time_point deadline,
-        cancel_event canceled);
     answer_metadata metadata_of(const running_request& request) const;
     admission_level level_for(const request_context& context) const;
-    std::optional<fingerprint> suspect_running() const;
+    void crashed(const crash_report& report);
     void check_for_crash();
 
     boost::asio::any_io_executor executor_;
     admission_controller admission_;
     suspect_list& suspects_;
     endpoint_levels& levels_;
-    suspect_gate suspect_gate_;
+    suspect_turns turns_;
+    std::shared_ptr<crash_detector> crashes_;
     in_flight_table running_;
     std::unique_ptr<http_client> client_;
     backend_report announcement_;
@@ -116,9 +115,6 @@
     bool was_ready_ = false;
     std::uint64_t next_id_ = 1;
     std::unordered_map<std::uint64_t, std::shared_ptr<waiter>> waiters_;
-    std::unordered_map<std::uint64_t, fingerprint> running_fingerprints_;
-    std::set<std::uint64_t> expired_suspects_;
-    time_point crash_checked_at_{};
     timer_service::subscription tick_subscription_;
 };
 
--- a/src/serving/backend_gate.cpp
+++ b/src/serving/backend_gate.cpp
@@ -21,11 +21,6 @@
 /// announcements it is not ready.
 constexpr seconds announcement_lifetime(3);
 constexpr milliseconds admission_tick_interval(10);
-/// Interval at which a request waiting for the suspect gate checks it.
-constexpr milliseconds suspect_gate_poll_interval(5);
-/// A crash breaks many connections at the same time; only the first one within
-/// this interval starts a check.
-constexpr milliseconds crash_check_interval(200);
 /// Maximum time without progress in the body of a backend server's answer.
 constexpr seconds body_idle_limit(10);
 
@@ -64,7 +59,7 @@
         : gate_(std::move(gate)), id_(id), fingerprint_(print),
           request_(std::move(request)), token_(gate_->running_.add(request_))
     {
-        gate_->running_fingerprints_.emplace(id_, fingerprint_);
+        gate_->crashes_->started(id_, fingerprint_);
     }
     run_guard(const run_guard&) = delete;
     run_guard& operator=(const run_guard&) = delete;
@@ -72,7 +67,7 @@
     ~run_guard()
     {
         gate_->running_.remove(token_);
-        gate_->running_fingerprints_.erase(id_);
+        gate_->crashes_->ended(id_);
         if (completion_ == completion::succeeded)
             gate_->suspects_.finished(fingerprint_, clock::now());
         request_->canceled.cancel();
@@ -96,7 +91,10 @@
     const asio::any_io_executor& executor, const admission_settings& settings,
     timer_service& timers, suspect_list& suspects, endpoint_levels& levels)
     : executor_(executor), admission_(settings, clock::now()),
-      suspects_(suspects), levels_(levels), suspect_gate_(suspect_settings{})
+      suspects_(suspects), levels_(levels),
+      turns_(executor, suspect_settings{}, [this] { return running_.size(); }),
+      crashes_(std::make_shared<crash_detector>(
+          executor, [this](const crash_report& report) { crashed(report); }))
 {
     tick_subscription_ =
         timers.every(admission_tick_interval, [this](time_point now) {
@@ -249,8 +247,7 @@
         co_return refusal_answer(*refused, metadata);
     }
     const bool alone = decision.action == suspect_action::run_alone;
-    if (!co_await wait_for_suspect_gate(
-            id, alone, context.deadline, canceled)) {
+    if (!co_await turns_.wait(id, alone, context.deadline, canceled)) {
         finish(id, completion::refused);
         log(log_level::info, "no_turn_for_request",
             {{"root", to_string(context.root)},
@@ -262,38 +259,10 @@
     auto response = co_await run(
         std::move(context), std::move(request), std::move(canceled), id, print);
     if (alone)
-        suspect_gate_.ended(id, clock::now());
+        turns_.ended(id);
     co_return response;
 }
 
-awaitable<bool> backend_gate::wait_for_suspect_gate(
-    std::uint64_t id, bool alone, time_point deadline, cancel_event canceled)
-{
-    // A request that may crash the backend server runs alone: its crash must
-    // not fail other requests, and they must not be suspected for it.
-    if (alone && !suspect_gate_.offer(id, clock::now()))
-        co_return false;
-    for (;;) {
-        const auto now = clock::now();
-        if (!alone && !suspect_gate_.blocks_others(now))
-            co_return true;
-        for (const auto expired : suspect_gate_.take_expired(now))
-            expired_suspects_.insert(expired);
-        if (expired_suspects_.erase(id) != 0)
-            co_return false;
-        suspect_gate_.next(running_.size(), now);
-        if (alone && suspect_gate_.running() == id)
-            co_return true;
-        if (canceled.is_canceled() || now >= deadline) {
-            if (alone)
-                suspect_gate_.ended(id, now);
-            co_return false;
-        }
-        asio::steady_timer timer(executor_, suspect_gate_poll_interval);
-        co_await timer.async_wait(asio::use_awaitable);
-    }
-}
-
 awaitable<streamed_response> backend_gate::run(
     request_context context, streamed_request request, cancel_event canceled,
     std::uint64_t id, fingerprint print)
@@ -391,46 +360,22 @@
     return metadata;
 }
 
-std::optional<fingerprint> backend_gate::suspect_running() const
+void backend_gate::crashed(const crash_report& report)
 {
-    const auto id = suspect_gate_.running();
-    const auto found =
-        id ? running_fingerprints_.find(*id) : running_fingerprints_.end();
-    if (found == running_fingerprints_.end())
-        return std::nullopt;
-    return found->second;
+    log(log_level::warning, "backend_crashed",
+        {{"in_flight", report.in_flight.size()}});
+    suspects_.crashed(report.in_flight, report.alone, clock::now());
+    announced_at_ = {};
 }
 
 void backend_gate::check_for_crash()
 {
-    // All connections of a crashed backend server break at the same time, so
-    // the requests still marked as running when the first connection breaks
-    // were in flight at the crash.
-    const auto now = clock::now();
-    if (now - crash_checked_at_ < crash_check_interval)
-        return;
-    crash_checked_at_ = now;
-    asio::co_spawn(
-        executor_,
-        [self = shared_from_this(), address = announcement_.address,
-         running = running_fingerprints_,
-         alone = suspect_running()]() -> awaitable<void> {
-            asio::ip::tcp::socket socket(self->executor_);
-            boost::system::error_code problem;
-            co_await socket.async_connect(
-                address, asio::redirect_error(asio::use_awaitable, problem));
-            if (!problem)
-                co_return;
-            std::vector<fingerprint> prints;
-            prints.reserve(running.size());
-            for (const auto& [id, print] : running)
-                prints.push_back(print);
-            log(log_level::warning, "backend_crashed",
-                {{"in_flight", prints.size()}});
-            self->suspects_.crashed(prints, alone, clock::now());
-            self->announced_at_ = {};
-        },
-        asio::detached);
+    const auto check =
+        [](std::shared_ptr<backend_gate> self) -> awaitable<void> {
+        co_await self->crashes_->check(
+            self->announcement_.address, self->turns_.running());
+    };
+    asio::co_spawn(executor_, check(shared_from_this()), asio::detached);
 }
 
 } // namespace fulmarjunction
