mesh: show that limits and leaves named in answers are ignored

Two backend servers name a limit of 5 requests per second and get 211 and 189 in 4 s, where one and a half times the limit and 5 are 35. A server that says in its answers that it leaves gets 31 of the next 60 requests.

--- a/src/mesh/mesh_test_fleet.hpp
+++ b/src/mesh/mesh_test_fleet.hpp
@@ -14,6 +14,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -301,6 +302,11 @@
             answer.headers.push_back({"seal", "s"});
         else if (status == 503)
             answer.headers.push_back({"not-run", "1"});
+        if (named_limit)
+            answer.headers.push_back(
+                {"limit", fmt::format("{}", *named_limit)});
+        if (says_leaving)
+            answer.headers.push_back({"leaving", "1"});
         co_return answer;
     }
 
@@ -312,6 +318,10 @@
     milliseconds restart_delay{300};
     int crashes = 0;
     bool resets_connections = false;
+    /// Requests per second that the backend server names in its answers.
+    std::optional<double> named_limit;
+    /// Whether the backend server says in its answers that it leaves.
+    bool says_leaving = false;
     fj::backend_hooks hooks;
     std::function<bool()> is_ready;
     std::unique_ptr<fj::mesh_node> process;
@@ -397,6 +407,29 @@
         return run(exchange(path, key, index, std::move(method)));
     }
 
+    /// Starts requests evenly over `time`, through all nodes in turn, and waits
+    /// for their answers.
+    std::vector<answer> send_evenly(
+        const std::string& path, const std::string& key, int count,
+        milliseconds time)
+    {
+        std::vector<std::shared_ptr<std::optional<answer>>> pending;
+        const auto started_at = fj::clock::now();
+        for (int sent_now = 0; sent_now < count; ++sent_now) {
+            const auto due = started_at + time * sent_now / count;
+            run_until([&] { return fj::clock::now() >= due; });
+            const auto index =
+                static_cast<std::size_t>(sent_now) % instances.size();
+            pending.push_back(start(exchange(path, key, index, "GET")));
+        }
+        std::vector<answer> answers;
+        for (const auto& one : pending) {
+            run_until([&] { return one->has_value(); });
+            answers.push_back(**one);
+        }
+        return answers;
+    }
+
     fj::awaitable<answer> exchange(
         std::string path, std::string key, std::size_t index,
         std::string method)
