gate: keep to the rate that a backend server names

What a server in need saw: far more requests than it had asked for.

Cause: a gate bounds how many requests run at once by the announced slots. A server that slows down and says how many requests per second it takes has free slots all the while. The fault is a limit that is kept in another unit than it is named in.

Change: the gate beside the server, through which all requests pass, reads the limit from every answer and starts requests from a token bucket; the limit ends with the first sealed answer without it, or with the process. Requests that cannot start in time are refused at once with the time to the next token, so that entry nodes try others, and the gate reports as its slots what it can fill at that rate, so that placement sends less there. A node that has just started asks the health endpoint, whose answer names the limit too; until any answer has come it runs four requests at once.

Why this works: requests of all nodes for a server pass one gate, so no share of the limit has to be agreed on.

New in the log: backend_limit, and rate_limit in gate_refused; new metric fulmar_node{value="rate_limit"}.

--- a/include/fulmarjunction/gate/slot_gate.hpp
+++ b/include/fulmarjunction/gate/slot_gate.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <fulmarjunction/core/time.hpp>
+#include <fulmarjunction/gate/start_rate.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -54,7 +55,8 @@
     milliseconds initial_service_time{50};
 };
 
-/// Limits the number of running requests to the slots of the backend server.
+/// Limits the number of running requests to the slots of the backend server,
+/// and the requests that it starts per second to a rate, if one is set.
 ///
 /// Under overload, calls from other backend servers run before root requests,
 /// then requests run by priority, then by arrival. A request that is not
@@ -69,6 +71,9 @@
     /// requests.
     void set_slots(std::size_t slots);
 
+    /// Sets the maximum number of requests that start per second, if any.
+    void set_rate(std::optional<double> per_second, time_point now);
+
     /// Decides on a request that arrives and queues it when it has to wait.
     gate_verdict offer(const gate_offer& request, time_point now);
 
@@ -90,18 +95,25 @@
     };
     changes advance(time_point now);
 
-    /// Returns when the first of the waiting requests must be refused.
-    std::optional<time_point> next_expiry() const;
+    /// Returns when `advance` may next have a request to start or to refuse,
+    /// apart from requests that end.
+    std::optional<time_point> next_due(time_point now) const;
 
     std::size_t running() const { return running_; }
     std::size_t waiting() const { return queue_.size(); }
     std::size_t limit() const { return limit_; }
+    const std::optional<double>& rate() const { return rate_.per_second(); }
+
+    /// Returns the number of requests that can run at once, given the slots,
+    /// the rate and the service time.
+    std::size_t usable_slots() const;
 
     /// Returns the moving average of the time that a request holds a slot.
     duration mean_service_time() const;
 
-    /// Returns the expected time until a slot is free for such a request.
-    duration expected_wait(bool is_call, unsigned priority) const;
+    /// Returns the expected time until such a request can start.
+    duration
+    expected_wait(bool is_call, unsigned priority, time_point now) const;
 
 private:
     /// Order of service: calls first, then priority, then arrival.
@@ -116,6 +128,7 @@
     duration max_wait_for(const gate_offer& request, time_point now) const;
 
     slot_gate_settings settings_;
+    start_rate rate_;
     std::size_t limit_ = 0;
     std::size_t running_ = 0;
     std::uint64_t arrivals_ = 0;
--- a/include/fulmarjunction/mesh/gate_service.hpp
+++ b/include/fulmarjunction/mesh/gate_service.hpp
@@ -77,6 +77,8 @@
 
     /// Measures how many requests one run of the backend server causes.
     run_cost_meter& costs() { return costs_; }
+    /// Returns the requests per second that the backend server has named.
+    const std::optional<double>& rate_limit() const { return gate_.rate(); }
     std::size_t running() const { return gate_.running(); }
     std::size_t waiting() const { return gate_.waiting(); }
 
@@ -95,6 +97,9 @@
     streamed_response accept_answer(
         const call_context& context, streamed_response answer,
         std::shared_ptr<slot> held, cancel_event canceled);
+    void update_slots();
+    void apply_rate_limit(
+        const std::string& backend_id, std::optional<double> per_second);
     awaitable<node_answer> handle_send_error(error problem);
     awaitable<bool> has_crashed();
     void blame(const crash_report& report);
@@ -108,6 +113,11 @@
     dependencies deps_;
     boost::asio::ip::tcp::endpoint backend_;
     slot_gate gate_;
+    /// Id of the backend server process that named the rate limit.
+    std::string limited_backend_;
+    /// Whether any answer of the backend server has arrived since the node
+    /// started. Before it, an earlier rate limit may still be in force.
+    bool has_answered_ = false;
     suspect_turns turns_;
     std::shared_ptr<crash_detector> crashes_;
     call_pressure pressure_;
--- a/include/fulmarjunction/mesh/mesh_metrics.hpp
+++ b/include/fulmarjunction/mesh/mesh_metrics.hpp
@@ -20,6 +20,9 @@
     double running = 0;
     double waiting = 0;
     double limit = 0;
+    /// Requests per second that the backend server has named; negative when it
+    /// has named none.
+    double rate_limit = -1;
     /// Pressure level of the local gate; see `call_pressure`.
     double pressure = 0;
     double nodes_known = 0;
--- a/include/fulmarjunction/mesh/wire_format.hpp
+++ b/include/fulmarjunction/mesh/wire_format.hpp
@@ -46,6 +46,9 @@
     /// Whether the answer carries the seal of the backend server, which proves
     /// its origin.
     bool is_sealed = false;
+    /// Requests per second that the backend server takes from all nodes
+    /// together, for as long as its answers say so.
+    std::optional<double> rate_limit;
 };
 
 /// Answer of a healthy backend server to a health check.
@@ -54,6 +57,8 @@
     /// Id of its process.
     std::string id;
     std::size_t slots = 0;
+    /// See `backend_facts`.
+    std::optional<double> rate_limit;
 };
 
 /// Encodes and decodes the header fields of a platform.
--- a/src/gate/gate_test.cpp
+++ b/src/gate/gate_test.cpp
@@ -91,8 +91,8 @@
 {
     auto gate = full_gate();
     CHECK(gate.offer(root(2), start) == gate_verdict::wait);
-    REQUIRE(gate.next_expiry());
-    const auto due = gate.advance(*gate.next_expiry());
+    REQUIRE(gate.next_due(start));
+    const auto due = gate.advance(*gate.next_due(start));
     CHECK(due.refuse == std::vector<std::uint64_t>{2});
     CHECK(gate.waiting() == 0);
 }
@@ -175,3 +175,60 @@
     CHECK(result.other_served > 0.08);
     CHECK(result.max_wait <= milliseconds(225));
 }
+
+// Guards against a server in need that gets more than it asks for while it has
+// free slots.
+TEST_CASE("no more requests start than the rate allows")
+{
+    fj::slot_gate gate;
+    gate.set_slots(100);
+    gate.set_rate(10, start);
+    std::uint64_t next_id = 1;
+    int started = 0;
+    auto now = start;
+    for (; now < start + milliseconds(4000); now += milliseconds(5)) {
+        started += static_cast<int>(gate.advance(now).start.size());
+        auto offer = root(next_id++);
+        offer.deadline = now + milliseconds(5000);
+        if (gate.offer(offer, now) == gate_verdict::run)
+            ++started;
+    }
+    CHECK(started <= 43);
+    CHECK(started >= 38);
+    // Without the limit, the requests that wait start at once.
+    gate.set_rate(std::nullopt, now);
+    CHECK(!gate.advance(now).start.empty());
+    CHECK(gate.offer(root(next_id), now) == gate_verdict::run);
+}
+
+// Guards against requests that wait for a token until their deadline although
+// nobody wakes the gate.
+TEST_CASE("a gate with a rate is due when its next token is")
+{
+    fj::slot_gate gate;
+    gate.set_slots(100);
+    gate.set_rate(10, start);
+    CHECK(gate.offer(root(1), start) == gate_verdict::wait);
+    CHECK(gate.expected_wait(false, 2, start) == milliseconds(200));
+    REQUIRE(gate.next_due(start));
+    CHECK(*gate.next_due(start) == start + milliseconds(100));
+    CHECK(gate.advance(start + milliseconds(50)).start.empty());
+    CHECK(
+        gate.advance(start + milliseconds(101)).start ==
+        std::vector<std::uint64_t>{1});
+}
+
+// Guards against entry nodes that prefer a server which starts few requests.
+TEST_CASE("a gate with a rate reports the slots that it can fill")
+{
+    fj::slot_gate gate;
+    gate.set_slots(100);
+    CHECK(gate.usable_slots() == 95);
+    // The service time is 50 ms.
+    gate.set_rate(60, start);
+    CHECK(gate.usable_slots() == 3);
+    gate.set_rate(0, start);
+    CHECK(gate.usable_slots() == 1);
+    gate.set_rate(std::nullopt, start);
+    CHECK(gate.usable_slots() == 95);
+}
--- a/src/gate/slot_gate.cpp
+++ b/src/gate/slot_gate.cpp
@@ -1,6 +1,7 @@
 #include <fulmarjunction/gate/slot_gate.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 
 namespace fulmarjunction {
@@ -30,15 +31,33 @@
     return from_seconds(mean_service_s_);
 }
 
-duration slot_gate::expected_wait(bool is_call, unsigned priority) const
+duration
+slot_gate::expected_wait(bool is_call, unsigned priority, time_point now) const
 {
-    if (running_ < limit_ && queue_.empty())
-        return {};
     const auto first_behind =
         queue_.lower_bound(queue_position{group_of(is_call), priority + 1, 0});
-    const auto ahead = std::distance(queue_.begin(), first_behind) + 1;
+    const auto place = static_cast<std::size_t>(
+        std::distance(queue_.begin(), first_behind) + 1);
+    const auto wait_for_rate = rate_.time_until(place, now);
+    if (running_ < limit_ && queue_.empty())
+        return wait_for_rate;
     const auto slots = static_cast<double>(std::max<std::size_t>(1, limit_));
-    return from_seconds(static_cast<double>(ahead) * mean_service_s_ / slots);
+    const auto wait_for_slot =
+        from_seconds(static_cast<double>(place) * mean_service_s_ / slots);
+    return std::max(wait_for_rate, wait_for_slot);
+}
+
+void slot_gate::set_rate(std::optional<double> per_second, time_point now)
+{
+    rate_.set(per_second, now);
+}
+
+std::size_t slot_gate::usable_slots() const
+{
+    if (!rate_.per_second() || limit_ == 0)
+        return limit_;
+    const auto busy = std::ceil(*rate_.per_second() * mean_service_s_);
+    return std::clamp<std::size_t>(static_cast<std::size_t>(busy), 1, limit_);
 }
 
 duration
@@ -56,12 +75,12 @@
 {
     if (limit_ == 0 || request.deadline <= now)
         return gate_verdict::refuse;
-    if (running_ < limit_ && queue_.empty()) {
+    if (running_ < limit_ && queue_.empty() && rate_.take(now)) {
         ++running_;
         return gate_verdict::run;
     }
     const auto max_wait = max_wait_for(request, now);
-    const auto wait = expected_wait(request.is_call, request.priority);
+    const auto wait = expected_wait(request.is_call, request.priority, now);
     if (wait > max_wait)
         return gate_verdict::refuse;
     const queue_position position{
@@ -96,7 +115,7 @@
     changes due;
     for (auto entry = queue_.begin(); entry != queue_.end();) {
         const bool is_late = entry->second.latest_start <= now;
-        const bool can_start = running_ < limit_;
+        const bool can_start = !is_late && running_ < limit_ && rate_.take(now);
         if (!is_late && !can_start) {
             ++entry;
             continue;
@@ -110,9 +129,11 @@
     return due;
 }
 
-std::optional<time_point> slot_gate::next_expiry() const
+std::optional<time_point> slot_gate::next_due(time_point now) const
 {
     std::optional<time_point> first;
+    if (rate_.per_second() && running_ < limit_ && !queue_.empty())
+        first = now + rate_.time_until(1, now);
     for (const auto& [position, request] : queue_) {
         if (!first || request.latest_start < *first)
             first = request.latest_start;
--- a/src/mesh/gate_service.cpp
+++ b/src/mesh/gate_service.cpp
@@ -37,6 +37,13 @@
 
 constexpr int first_server_error = 500;
 
+/// Requests that run at once before a backend server has answered for the first
+/// time.
+constexpr std::size_t unanswered_slots = 4;
+
+/// Logged where the backend server has named no rate limit.
+constexpr double no_rate_limit = -1;
+
 /// Minimum retry delay that a refused caller is given.
 constexpr milliseconds min_retry_after(200);
 
@@ -137,7 +144,9 @@
 
 void gate_service::backend_changed()
 {
-    gate_.set_slots(deps_.monitor->slots());
+    update_slots();
+    if (gate_.rate() && limited_backend_ != deps_.monitor->id())
+        apply_rate_limit(deps_.monitor->id(), std::nullopt);
     advance();
 }
 
@@ -167,12 +176,14 @@
         {{"status", answer.value().status},
          {"usable", health.has_value()},
          {"whole", body.has_value()}});
+    if (health)
+        apply_rate_limit(health->id, health->rate_limit);
     co_return health;
 }
 
 gate_load gate_service::load() const
 {
-    return {gate_.running() + gate_.waiting(), gate_.limit()};
+    return {gate_.running() + gate_.waiting(), gate_.usable_slots()};
 }
 
 streamed_response gate_service::refuse(
@@ -188,6 +199,7 @@
          {"running", gate_.running()},
          {"waiting", gate_.waiting()},
          {"limit", gate_.limit()},
+         {"rate_limit", gate_.rate().value_or(no_rate_limit)},
          {"is_call", context.is_call},
          {"priority", context.priority},
          {"waited_ms", context.waited.count()},
@@ -231,7 +243,7 @@
 {
     return std::max<duration>(
         min_retry_after,
-        gate_.expected_wait(context.is_call, context.priority));
+        gate_.expected_wait(context.is_call, context.priority, clock::now()));
 }
 
 awaitable<std::optional<node_answer>> gate_service::wait_for_slot(
@@ -268,7 +280,7 @@
     while (!waiting->is_decided) {
         boost::system::error_code ignored;
         waiting->signal.expires_at(
-            gate_.next_expiry().value_or(context.deadline));
+            gate_.next_due(clock::now()).value_or(context.deadline));
         co_await waiting->signal.async_wait(
             asio::redirect_error(asio::use_awaitable, ignored));
         if (!waiting->is_decided)
@@ -373,12 +385,44 @@
     co_return answer;
 }
 
+void gate_service::update_slots()
+{
+    const auto slots = deps_.monitor->slots();
+    gate_.set_slots(has_answered_ ? slots : std::min(slots, unanswered_slots));
+}
+
+/// Applies the rate limit that an answer of a backend server process names, or
+/// removes it.
+void gate_service::apply_rate_limit(
+    const std::string& backend_id, std::optional<double> per_second)
+{
+    const bool was_limited = gate_.rate().has_value();
+    limited_backend_ = backend_id;
+    gate_.set_rate(per_second, clock::now());
+    if (!std::exchange(has_answered_, true)) {
+        update_slots();
+        advance();
+    }
+    if (was_limited == per_second.has_value())
+        return;
+    log(log_level::info, "backend_limit",
+        {{"backend", backend_id},
+         {"per_s", per_second.value_or(no_rate_limit)}});
+    if (!per_second)
+        advance();
+}
+
 streamed_response gate_service::accept_answer(
     const call_context& context, streamed_response answer,
     std::shared_ptr<slot> held, cancel_event canceled)
 {
     const auto facts =
         deps_.format->take_backend_facts(answer.status, answer.headers);
+    const bool is_own_answer =
+        !facts.is_other_backend && context.backend_id == deps_.monitor->id();
+    // An answer without proof of origin may name a limit but not remove one.
+    if (is_own_answer && (facts.rate_limit || facts.is_sealed))
+        apply_rate_limit(context.backend_id, facts.rate_limit);
     if (facts.is_other_backend || facts.not_run) {
         const auto reason = facts.is_other_backend ? node_refusal::other_backend
                                                    : node_refusal::turned_away;
--- a/src/mesh/mesh_metrics.cpp
+++ b/src/mesh/mesh_metrics.cpp
@@ -149,6 +149,7 @@
     set("running", values.running);
     set("waiting", values.waiting);
     set("limit", values.limit);
+    set("rate_limit", values.rate_limit);
     set("pressure", values.pressure);
     set("nodes_known", values.nodes_known);
     set("nodes_reachable", values.nodes_reachable);
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -562,6 +562,7 @@
         gauges.running = static_cast<double>(gate_->running());
         gauges.waiting = static_cast<double>(gate_->waiting());
         gauges.limit = static_cast<double>(gate_->load().limit);
+        gauges.rate_limit = gate_->rate_limit().value_or(gauges.rate_limit);
         gauges.pressure = gate_->pressure().level();
         gauges.suspects = static_cast<double>(suspects_.size());
         for (const auto& [name, member] : fleet_.members()) {
--- a/src/mesh/mesh_test_fleet.hpp
+++ b/src/mesh/mesh_test_fleet.hpp
@@ -145,6 +145,8 @@
         facts.request_id = field(fields, "id");
         facts.not_run = fj::find_header(fields, "not-run").has_value();
         facts.is_sealed = fj::find_header(fields, "seal").has_value();
+        if (const auto limit = fj::find_header(fields, "limit"))
+            facts.rate_limit = std::stod(std::string(*limit));
         return facts;
     };
     format.read_health = [](int status, const fj::header_fields& fields)
