mesh: recognize a request that crashes servers whoever sends it

The fingerprint held the account and the name of the route. A request that crashes servers could crash two more for each account that sends it, and again after a configuration had renamed its route. It is made of host, target and the start of the body now.

Test: "a request that crashes servers is refused for every account".

--- a/src/mesh/caller_entry.cpp
+++ b/src/mesh/caller_entry.cpp
@@ -260,9 +260,11 @@
     outgoing.headers = std::move(incoming.message.headers);
     outgoing.content_length = incoming.message.content_length;
     outgoing.body = std::move(body.value());
+    // The same content crashes a backend server whoever sends it, also after
+    // the route has been renamed.
+    const auto host = find_header(outgoing.headers, "host").value_or("");
     outgoing.context.print = fingerprint_of(
-        outgoing.context.account, outgoing.context.route_name, outgoing.target,
-        outgoing.body.prefix);
+        {}, std::string(host), outgoing.target, outgoing.body.prefix);
     co_return co_await deps_.request_forwarder->forward(
         std::move(outgoing), canceled);
 }
--- a/src/mesh/crashing_request_test.cpp
+++ b/src/mesh/crashing_request_test.cpp
@@ -165,3 +165,19 @@
     }
     CHECK(fleet.send("/books/1", key, 0, "POST").status == 200);
 }
+
+// Guards against a request that crashes two more servers for each account that
+// sends it.
+TEST_CASE("a request that crashes servers is refused for every account")
+{
+    auto& fleet = make_book_fleet();
+    fj::account_entry south;
+    south.plan.name = "south";
+    south.keys = {"key-2"};
+    fleet.rows->config.accounts.push_back(south);
+    fleet.publish();
+    send_crashing(fleet, 4);
+    CHECK(count_crashes(fleet) == 2);
+    CHECK(fleet.send(crashing_path, "key-2").status == 503);
+    CHECK(count_crashes(fleet) == 2);
+}
