mesh: send nothing to a backend server whose answers say that it leaves

What a leaving server saw: requests went on until its next heartbeat or its deregistration, since only heartbeats were taken as word of a leave. A server that never reports draining got them until it was gone.

Change: the gate takes the mark from an answer of the current process, whatever later heartbeats of that process say, and announces it as it does for draining. An entry node that has passed on such an answer does not choose that process again for 30 s, also when the node beside the server has restarted meanwhile and reports it as ready.

The memory of the entry is shown by "a process that says that it leaves is not chosen". New in the log: backend_leaving.

--- a/include/fulmarjunction/fleet/placement.hpp
+++ b/include/fulmarjunction/fleet/placement.hpp
@@ -60,6 +60,9 @@
     /// request, is not chosen while there are others.
     milliseconds unreachable_pause{1000};
     milliseconds refused_pause{100};
+    /// Time within which a process that says that it leaves has ended. Later,
+    /// another process may have its id.
+    seconds leaving_time{30};
 };
 
 /// Spreads requests over the backend servers of a service.
@@ -110,6 +113,10 @@
         placement_result result, duration latency,
         std::optional<std::size_t> load, time_point now);
 
+    /// Records that a backend server process says that it leaves. It is not
+    /// chosen any more, whatever its node reports.
+    void record_leaving(const choice& chosen, time_point now);
+
     /// Returns nodes with outstanding requests that have answered none for
     /// `limit`: they may have failed without closing their connections.
     std::vector<instance_name>
@@ -157,6 +164,9 @@
     placement_settings settings_;
     std::map<instance_name, record> records_;
     std::unordered_map<service_name, service_targets> by_service_;
+    /// Ids of processes that leave, with the time until which they are not
+    /// chosen.
+    std::unordered_map<std::string, time_point> leaving_;
 };
 
 } // namespace fulmarjunction
--- a/include/fulmarjunction/mesh/backend_monitor.hpp
+++ b/include/fulmarjunction/mesh/backend_monitor.hpp
@@ -74,13 +74,21 @@
     /// Returns whether no heartbeat or health answer has arrived yet.
     bool is_unknown() const { return !received_at_; }
 
+    /// Records that an answer of a process says that it leaves. It takes no new
+    /// requests from then on, whatever its heartbeats say.
+    /// @param id id of the process
+    void record_leaving(const std::string& id);
+
     /// Records that a connection was refused, so that no process listens at the
     /// address.
     void record_connection_refused();
 
     backend_state state(time_point now) const;
     /// Returns whether the last known process has announced that it ends.
-    bool is_leaving() const { return has_left_ || last_.is_draining; }
+    bool is_leaving() const
+    {
+        return has_left_ || says_leaving_ || last_.is_draining;
+    }
 
     /// Returns the id of the last known process; empty when there is none.
     const std::string& id() const { return last_.id; }
@@ -99,6 +107,7 @@
     backend_heartbeat last_;
     std::optional<time_point> received_at_;
     bool has_left_ = false;
+    bool says_leaving_ = false;
     bool is_unreachable_ = false;
 };
 
--- a/include/fulmarjunction/mesh/forwarder.hpp
+++ b/include/fulmarjunction/mesh/forwarder.hpp
@@ -8,6 +8,7 @@
 #include <fulmarjunction/mesh/call_context.hpp>
 #include <fulmarjunction/mesh/gate_service.hpp>
 #include <fulmarjunction/mesh/mesh_metrics.hpp>
+#include <fulmarjunction/mesh/wire_format.hpp>
 #include <fulmarjunction/peer/peer.hpp>
 #include <fulmarjunction/retry/service_budget.hpp>
 #include <fulmarjunction/serving/body.hpp>
@@ -55,6 +56,7 @@
         placement* target_placement = nullptr;
         service_budget* budget = nullptr;
         suspect_list* suspects = nullptr;
+        const wire_format* format = nullptr;
         mesh_metrics* metrics = nullptr;
         /// Returns the peer client, or null until the node has joined.
         std::function<peer_client*()> peers;
@@ -88,7 +90,7 @@
     std::variant<placement::choice, node_answer>
     choose_target(const outgoing_request& outgoing, const progress& so_far);
     suspect_decision decide_suspicion(const outgoing_request& outgoing) const;
-    static attempt_outcome read_outcome(result<streamed_response>& answer);
+    attempt_outcome read_outcome(result<streamed_response>& answer) const;
     void record_outcome(
         const placement::choice& chosen, const outgoing_request& outgoing,
         const attempt_outcome& outcome, duration latency);
--- a/include/fulmarjunction/mesh/wire_format.hpp
+++ b/include/fulmarjunction/mesh/wire_format.hpp
@@ -49,6 +49,8 @@
     /// Requests per second that the backend server takes from all nodes
     /// together, for as long as its answers say so.
     std::optional<double> rate_limit;
+    /// Whether the backend server says that it leaves.
+    bool is_leaving = false;
 };
 
 /// Answer of a healthy backend server to a health check.
@@ -73,6 +75,8 @@
         add_backend_fields;
     /// Parses the metadata and removes the fields that only nodes may see.
     std::function<backend_facts(int status, header_fields&)> take_backend_facts;
+    /// Returns whether an answer says that its backend server leaves.
+    std::function<bool(const header_fields&)> is_leaving;
     /// Parses the answer to a health check. Returns nothing when the backend
     /// server is unhealthy or required fields are missing.
     std::function<std::optional<backend_health>(
--- a/src/fleet/fleet_test.cpp
+++ b/src/fleet/fleet_test.cpp
@@ -295,3 +295,31 @@
         places.unresponsive_nodes(seconds(1), start + seconds(2)) ==
         std::vector<fj::instance_name>{"b"});
 }
+
+// Guards against requests to a backend server that leaves, sent by an entry
+// node that has passed on its word while the node beside it has forgotten it.
+TEST_CASE("a process that says that it leaves is not chosen")
+{
+    fj::placement places("east", random_numbers());
+    auto leaving = target_of("a");
+    leaving.backend_id = "run-a";
+    places.set_targets({{"books", leaving}, {"books", target_of("b")}});
+    places.record_leaving({"a", "run-a"}, start);
+    const auto chooses_a = [&](fj::time_point now) {
+        for (int i = 0; i < 50; ++i) {
+            const auto chosen =
+                places.choose("books", "r", seconds(1), {}, now);
+            if (chosen && chosen->node == "a")
+                return true;
+        }
+        return places.choose_node("a", now).has_value();
+    };
+    CHECK_FALSE(chooses_a(start));
+    places.set_targets({{"books", target_of("b")}});
+    places.set_targets({{"books", leaving}, {"books", target_of("b")}});
+    CHECK_FALSE(chooses_a(start + seconds(1)));
+    // A later process of the same node is not meant.
+    leaving.backend_id = "run-b";
+    places.set_targets({{"books", leaving}});
+    CHECK(chooses_a(start + seconds(2)));
+}
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -45,6 +45,8 @@
         if (current.target.load != target.load)
             current.sent_since = 0;
         current.target = target;
+        if (leaving_.contains(target.backend_id))
+            continue;
         auto& group = by_service_[service];
         const bool is_own_zone = target.zone == own_zone_;
         (is_own_zone ? group.own_zone : group.other_zones).push_back(&current);
@@ -144,6 +146,8 @@
     const service_name& service, const std::string& route_name,
     duration objective, const std::vector<instance_name>& tried, time_point now)
 {
+    std::erase_if(
+        leaving_, [now](const auto& entry) { return entry.second <= now; });
     const auto found = by_service_.find(service);
     if (found == by_service_.end())
         return std::nullopt;
@@ -165,11 +169,24 @@
     return take(*best, now);
 }
 
+void placement::record_leaving(const choice& chosen, time_point now)
+{
+    leaving_[chosen.backend_id] = now + settings_.leaving_time;
+    const auto is_leaving = [&](const record* target) {
+        return target->target.backend_id == chosen.backend_id;
+    };
+    for (auto& [service, group] : by_service_) {
+        std::erase_if(group.own_zone, is_leaving);
+        std::erase_if(group.other_zones, is_leaving);
+    }
+}
+
 std::optional<placement::choice>
 placement::choose_node(const instance_name& node, time_point now)
 {
     const auto found = records_.find(node);
-    if (found == records_.end())
+    if (found == records_.end() ||
+        leaving_.contains(found->second.target.backend_id))
         return std::nullopt;
     return take(found->second, now);
 }
--- a/src/mesh/backend_monitor.cpp
+++ b/src/mesh/backend_monitor.cpp
@@ -57,6 +57,7 @@
     last_ = beat;
     received_at_ = now;
     has_left_ = false;
+    says_leaving_ = says_leaving_ && !is_other_process;
     is_unreachable_ = false;
     if (differs && on_change)
         on_change();
@@ -91,6 +92,14 @@
         on_change();
 }
 
+void backend_monitor::record_leaving(const std::string& id)
+{
+    if (!received_at_ || id != last_.id || std::exchange(says_leaving_, true))
+        return;
+    if (on_change)
+        on_change();
+}
+
 void backend_monitor::record_connection_refused()
 {
     if (std::exchange(is_unreachable_, true))
@@ -104,7 +113,8 @@
     if (!received_at_ || has_left_ || is_unreachable_ ||
         now - *received_at_ >= heartbeat_timeout_)
         return backend_state::absent;
-    return last_.is_draining ? backend_state::draining : backend_state::ready;
+    const bool is_draining = says_leaving_ || last_.is_draining;
+    return is_draining ? backend_state::draining : backend_state::ready;
 }
 
 } // namespace fulmarjunction
--- a/src/mesh/forwarder.cpp
+++ b/src/mesh/forwarder.cpp
@@ -38,6 +38,8 @@
 {
     /// Status of the backend server's answer; none when a node answered.
     std::optional<int> backend_status;
+    /// Whether that answer says that the backend server leaves.
+    bool is_backend_leaving = false;
     /// Valid when the backend server did not answer.
     node_answer failure{node_refusal::broken, false, true, std::nullopt};
     std::optional<gate_load> load;
@@ -186,7 +188,7 @@
 }
 
 forwarder::attempt_outcome
-forwarder::read_outcome(result<streamed_response>& answer)
+forwarder::read_outcome(result<streamed_response>& answer) const
 {
     attempt_outcome outcome;
     if (answer) {
@@ -197,6 +199,8 @@
             outcome.failure = *refusal;
         else
             outcome.backend_status = answer.value().status;
+        outcome.is_backend_leaving =
+            outcome.backend_status && deps_.format->is_leaving(headers);
     } else if (answer.error().code == errc::connection_failed) {
         outcome.failure = {
             node_refusal::no_backend, true, false, no_backend_retry_after};
@@ -226,6 +230,9 @@
         outcome.load ? std::optional<std::size_t>(outcome.load->load)
                      : std::nullopt,
         now);
+    // The node beside the backend server may restart and forget that it leaves.
+    if (outcome.is_backend_leaving)
+        deps_.target_placement->record_leaving(chosen, now);
 }
 
 awaitable<std::optional<forward_result>> forwarder::try_once(
--- a/src/mesh/gate_service.cpp
+++ b/src/mesh/gate_service.cpp
@@ -423,6 +423,11 @@
     // An answer without proof of origin may name a limit but not remove one.
     if (is_own_answer && (facts.rate_limit || facts.is_sealed))
         apply_rate_limit(context.backend_id, facts.rate_limit);
+    if (is_own_answer && facts.is_leaving && !deps_.monitor->is_leaving()) {
+        log(log_level::info, "backend_leaving",
+            {{"backend", context.backend_id}});
+        deps_.monitor->record_leaving(context.backend_id);
+    }
     if (facts.is_other_backend || facts.not_run) {
         const auto reason = facts.is_other_backend ? node_refusal::other_backend
                                                    : node_refusal::turned_away;
--- a/src/mesh/leaving_server_test.cpp
+++ b/src/mesh/leaving_server_test.cpp
@@ -13,9 +13,7 @@
 
 // Guards against requests that a leaving server cuts off, since only its
 // answers tell that it leaves.
-TEST_CASE(
-    "a server that says in its answers that it leaves gets no more",
-    "[known-red]")
+TEST_CASE("a server that says in its answers that it leaves gets no more")
 {
     auto& fleet = make_fleet();
     auto& leaving = *fleet.instances[1];
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -375,6 +375,7 @@
     forwarding.target_placement = &placement_;
     forwarding.budget = &budget_;
     forwarding.suspects = &suspects_;
+    forwarding.format = &adapter_.format;
     forwarding.peers = [this] { return peer_client_.get(); };
     forwarding.gate = gate_;
     forwarding.metrics = &metrics_;
--- a/src/mesh/mesh_test_fleet.hpp
+++ b/src/mesh/mesh_test_fleet.hpp
@@ -147,8 +147,12 @@
         facts.is_sealed = fj::find_header(fields, "seal").has_value();
         if (const auto limit = fj::find_header(fields, "limit"))
             facts.rate_limit = std::stod(std::string(*limit));
+        facts.is_leaving = fj::find_header(fields, "leaving").has_value();
         return facts;
     };
+    format.is_leaving = [](const fj::header_fields& fields) {
+        return fj::find_header(fields, "leaving").has_value();
+    };
     format.read_health = [](int status, const fj::header_fields& fields)
         -> std::optional<fj::backend_health> {
         if (status != 200)
