serving: notice a crash while the process still closes its sockets

A process that ends closes its sockets one after the other. Where a connection goes before the listening socket, the check that follows still connects, and the crash was taken for a lost connection: no request became suspect. A connection that is closed again within 20 ms is probed once more now, up to five times; a server at its limit of connections does the same and keeps listening.

Shown by "a server that is about to end has crashed", which the check before fails.

--- a/include/fulmarjunction/serving/crash_detector.hpp
+++ b/include/fulmarjunction/serving/crash_detector.hpp
@@ -59,6 +59,16 @@
         bool has_crashed = false;
     };
 
+    enum class probe_result
+    {
+        /// No process listens.
+        refused,
+        /// The connection was accepted and closed again.
+        closed,
+        open
+    };
+
+    awaitable<probe_result> probe(boost::asio::ip::tcp::endpoint address) const;
     awaitable<bool> is_refused(boost::asio::ip::tcp::endpoint address) const;
 
     boost::asio::any_io_executor executor_;
--- a/src/serving/crash_detector.cpp
+++ b/src/serving/crash_detector.cpp
@@ -18,6 +18,11 @@
 /// A process that accepts no connection in this time does not count as
 /// crashed: its host may be cut off.
 constexpr milliseconds connect_timeout(300);
+/// A process that ends closes its sockets one after the other, the listening
+/// one perhaps last. A connection that it closes within this time is probed
+/// again.
+constexpr milliseconds settle_time(20);
+constexpr int max_probes = 5;
 
 } // namespace
 
@@ -37,21 +42,42 @@
     in_flight_.erase(id);
 }
 
-awaitable<bool>
-crash_detector::is_refused(asio::ip::tcp::endpoint address) const
+/// Connects to the backend server and watches the connection for a moment.
+awaitable<crash_detector::probe_result>
+crash_detector::probe(asio::ip::tcp::endpoint address) const
 {
     const auto socket = std::make_shared<asio::ip::tcp::socket>(executor_);
     asio::steady_timer timer(executor_, connect_timeout);
-    timer.async_wait([socket](boost::system::error_code canceled) {
+    const auto close_on_expiry = [socket](boost::system::error_code canceled) {
         boost::system::error_code ignored;
         if (!canceled)
             socket->close(ignored);
-    });
+    };
+    timer.async_wait(close_on_expiry);
     boost::system::error_code problem;
     co_await socket->async_connect(
         address, asio::redirect_error(asio::use_awaitable, problem));
-    timer.cancel();
-    co_return problem == asio::error::connection_refused;
+    if (problem == asio::error::connection_refused)
+        co_return probe_result::refused;
+    if (problem)
+        co_return probe_result::open;
+    timer.expires_after(settle_time);
+    timer.async_wait(close_on_expiry);
+    co_await socket->async_wait(
+        asio::socket_base::wait_read,
+        asio::redirect_error(asio::use_awaitable, problem));
+    co_return problem ? probe_result::open : probe_result::closed;
+}
+
+awaitable<bool>
+crash_detector::is_refused(asio::ip::tcp::endpoint address) const
+{
+    for (int probes = 0; probes < max_probes; ++probes) {
+        const auto found = co_await probe(address);
+        if (found != probe_result::closed)
+            co_return found == probe_result::refused;
+    }
+    co_return false;
 }
 
 awaitable<bool> crash_detector::check(
--- a/src/serving/crash_detector_test.cpp
+++ b/src/serving/crash_detector_test.cpp
@@ -72,3 +72,42 @@
     CHECK(fixture.reports[0].in_flight.size() == 3);
     CHECK(fixture.reports[0].alone == fj::fingerprint{12});
 }
+
+// Guards against a crash that is missed because the process closes its
+// listening socket after its connections.
+TEST_CASE("a server that is about to end has crashed", "[serving]")
+{
+    detector_fixture fixture;
+    fixture.detector->started(1, 11);
+    const auto found =
+        start(fixture.detector->check(fixture.address, std::nullopt));
+    asio::steady_timer timer(io(), std::chrono::milliseconds(5));
+    timer.async_wait(
+        [&](const boost::system::error_code&) { fixture.listener.close(); });
+    run_until([&] { return found->has_value(); });
+    CHECK(found->value());
+    CHECK(fixture.reports.size() == 1);
+}
+
+// Guards against requests that are blamed because the server is at its limit of
+// connections.
+TEST_CASE("a server that closes new connections has not crashed", "[serving]")
+{
+    detector_fixture fixture;
+    fixture.detector->started(1, 11);
+    const auto close_connections = [&]() -> fj::awaitable<bool> {
+        for (;;) {
+            boost::system::error_code failure;
+            tcp::socket socket(io());
+            co_await fixture.listener.async_accept(
+                socket, asio::redirect_error(use_awaitable, failure));
+            if (failure)
+                co_return true;
+        }
+    };
+    const auto closing = start(close_connections());
+    CHECK_FALSE(fixture.check());
+    CHECK(fixture.reports.empty());
+    fixture.listener.close();
+    run_until([&] { return closing->has_value(); });
+}
