mesh: ignore internal fields that callers and backend servers set

Nodes on a shared store pass a request's context to each other in header fields fj-*. An entry node forwarded such fields of a caller, and the node beside the backend server read the first one: a caller could name another account, service or rank. The answer of a backend server could hold fj-o, which made it the refusal of a node: a request that had run was taken for one that had not, and sent again.

Cause: the product's own interface strips these fields at its edges, the mesh did not. Both edges do so now.

Evidence: the fixture of the node tests now forges both fields in every request and answer; before the change its first request was answered 503 for 120 s ("retry reason=overloaded not_run=true" for requests that had run).

--- a/src/mesh/caller_entry.cpp
+++ b/src/mesh/caller_entry.cpp
@@ -1,5 +1,6 @@
 #include <fulmarjunction/core/log.hpp>
 #include <fulmarjunction/mesh/caller_entry.hpp>
+#include <fulmarjunction/serving/context_codec.hpp>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -271,6 +272,8 @@
 
 awaitable<streamed_response> caller_entry::handle(http_request request)
 {
+    // A caller must not be able to set a part of the context.
+    strip_internal_fields(request.message.headers);
     auto claims = deps_.format->take_claims(request.message.headers);
     const auto id = claims.request_id;
     const auto found = admit(request.message, claims);
--- a/src/mesh/gate_service.cpp
+++ b/src/mesh/gate_service.cpp
@@ -1,6 +1,7 @@
 #include <fulmarjunction/core/log.hpp>
 #include <fulmarjunction/mesh/gate_service.hpp>
 #include <fulmarjunction/serving/body.hpp>
+#include <fulmarjunction/serving/context_codec.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -416,6 +417,8 @@
     const call_context& context, streamed_response answer,
     std::shared_ptr<slot> held, cancel_event canceled)
 {
+    // A backend server must not be able to answer in the name of a node.
+    strip_internal_fields(answer.headers);
     const auto facts =
         deps_.format->take_backend_facts(answer.status, answer.headers);
     const bool is_own_answer =
--- a/src/mesh/mesh_test_fleet.hpp
+++ b/src/mesh/mesh_test_fleet.hpp
@@ -304,6 +304,7 @@
         auto answer = text_response(status, name);
         answer.headers.push_back({"run", backend_id()});
         answer.headers.push_back({"id", field(fields, "id")});
+        answer.headers.push_back({"fj-o", "overloaded;1;0;-1"});
         if (status == 200)
             answer.headers.push_back({"seal", "s"});
         else if (status == 503)
@@ -448,6 +449,7 @@
         request.target = std::move(path);
         request.headers = {{"host", "h"}, {"id", fmt::format("r{}", ++sent)}};
         request.headers.push_back({"account", "forged"});
+        request.headers.push_back({"fj-c", "1;1;0;9000;books;forged;forged"});
         if (!key.empty())
             request.headers.push_back({"key", key});
         request.content_length = 0;
