--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -2,6 +2,7 @@
 
 #include <fulmarjunction/core/log.hpp>
 
+#include <http/acceptor.hpp>
 #include <http/body_writer.hpp>
 #include <http/message_reader.hpp>
 
@@ -183,24 +184,11 @@
 
 result<tcp::endpoint> http_server::impl::listen(const tcp::endpoint& address)
 {
-    boost::system::error_code failure;
-    const auto failed = [&] {
-        return fail(
-            errc::unavailable, "http.listen", address.address().to_string(),
-            failure.message());
-    };
-    acceptor_.open(address.protocol(), failure);
-    if (failure)
-        return failed();
-    acceptor_.set_option(tcp::acceptor::reuse_address(true), failure);
-    acceptor_.bind(address, failure);
-    if (failure)
-        return failed();
-    acceptor_.listen(asio::socket_base::max_listen_connections, failure);
-    if (failure)
-        return failed();
+    BOOST_OUTCOME_TRY(
+        const auto bound,
+        detail::open_acceptor(acceptor_, address, "http.listen"));
     asio::co_spawn(executor_, accept_loop(shared_from_this()), asio::detached);
-    return acceptor_.local_endpoint();
+    return bound;
 }
 
 awaitable<void> http_server::impl::accept_loop(std::shared_ptr<impl> self)
--- a/src/peer/server.cpp
+++ b/src/peer/server.cpp
@@ -1,5 +1,6 @@
 #include <fulmarjunction/core/log.hpp>
 
+#include <http/acceptor.hpp>
 #include <peer/link.hpp>
 #include <peer/session.hpp>
 
@@ -115,24 +116,11 @@
 {
     if (!detail::is_valid_identity(identity_))
         return fail(errc::invalid_argument, "peer.listen", identity_.name);
-    boost::system::error_code failure;
-    const auto failed = [&] {
-        return fail(
-            errc::unavailable, "peer.listen", address.address().to_string(),
-            failure.message());
-    };
-    acceptor_.open(address.protocol(), failure);
-    if (failure)
-        return failed();
-    acceptor_.set_option(tcp::acceptor::reuse_address(true), failure);
-    acceptor_.bind(address, failure);
-    if (failure)
-        return failed();
-    acceptor_.listen(asio::socket_base::max_listen_connections, failure);
-    if (failure)
-        return failed();
+    BOOST_OUTCOME_TRY(
+        const auto bound,
+        detail::open_acceptor(acceptor_, address, "peer.listen"));
     asio::co_spawn(executor_, accept_loop(shared_from_this()), asio::detached);
-    return acceptor_.local_endpoint();
+    return bound;
 }
 
 awaitable<void> peer_server::impl::accept_loop(std::shared_ptr<impl> self)
