mesh: split mesh_node.cpp

Writing and reading the rows of the store at the start and the stop is a class of its own, fleet_registration; the planned stop has a file of its own; waiting for a condition, which both kinds of node do at their stop, is one function. No change of behaviour. Tests: mesh_test, serving_test.

--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -12,6 +12,7 @@
 #include <fulmarjunction/platform/bounded_table_service.hpp>
 #include <fulmarjunction/platform/http_platform.hpp>
 #include <fulmarjunction/serving/egress.hpp>
+#include <fulmarjunction/serving/wait_until.hpp>
 #include <fulmarjunction/suspects/suspect_reports.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -40,7 +41,6 @@
 /// that have not received its leave message yet still send calls; the message
 /// reaches all nodes well within this time.
 constexpr seconds leave_grace(2);
-constexpr milliseconds drain_poll_interval(20);
 /// A peer connection costs about 62 KiB at each end. Neighbours are probed each
 /// second, so a connection that is idle for a minute remains from an earlier
 /// membership ring, from startup or from a service that is no longer called.
@@ -155,8 +155,6 @@
         std::string_view text);
     awaitable<void> run_timers();
     awaitable<void> shut_down(std::function<void()> on_stopped);
-    awaitable<void>
-    wait_until(std::function<bool()> is_done, time_point deadline);
     bool is_idle() const;
     void report_backend();
 
@@ -504,16 +502,6 @@
     asio::co_spawn(executor_, shut_down(std::move(on_stopped)), asio::detached);
 }
 
-awaitable<void>
-node::impl::wait_until(std::function<bool()> is_done, time_point deadline)
-{
-    asio::steady_timer timer(executor_);
-    while (!is_done() && clock::now() < deadline) {
-        timer.expires_after(drain_poll_interval);
-        co_await timer.async_wait(asio::use_awaitable);
-    }
-}
-
 awaitable<void> node::impl::shut_down(std::function<void()> on_stopped)
 {
     const auto started = clock::now();
@@ -526,8 +514,9 @@
     caller_server_->begin_shutdown();
     // Peers that have not received the leave message yet still send calls,
     // which are served.
-    co_await wait_until([] { return false; }, started + leave_grace);
-    co_await wait_until([this] { return is_idle(); }, deadline);
+    co_await wait_until(executor_, nullptr, started + leave_grace);
+    co_await wait_until(
+        executor_, [this] { return is_idle(); }, deadline);
     if (!is_idle()) {
         log(log_level::warning, "drain_limit_reached",
             {{"in_flight", gate_->in_flight()},
@@ -535,7 +524,8 @@
              {"callers", caller_server_->requests_in_flight()}});
     }
     const auto limit = clock::now() + shutdown_steps_timeout;
-    co_await wait_until([this] { return state_->rates.is_released(); }, limit);
+    co_await wait_until(
+        executor_, [this] { return state_->rates.is_released(); }, limit);
     if (state_->issuer.entries() > 0) {
         co_await unique_runner_->hand_over(
             *peer_client_, limit, [this](table_transaction change) {
@@ -544,10 +534,11 @@
     }
     state_->own_instance_row.remove();
     co_await wait_until(
-        [this] { return state_->own_instance_row.is_settled(); }, limit);
+        executor_, [this] { return state_->own_instance_row.is_settled(); },
+        limit);
     peer_server_->begin_shutdown();
     co_await wait_until(
-        [this] { return peer_server_->open_streams() == 0; }, limit);
+        executor_, [this] { return peer_server_->open_streams() == 0; }, limit);
     stopped_ = true;
     log(log_level::info, "stopped",
         {{"seconds", to_seconds(clock::now() - started)}});
--- /dev/null
+++ b/src/mesh/fleet_registration.hpp
@@ -0,0 +1,49 @@
+/// @file
+/// The node's row in the shared store.
+#pragma once
+
+#include "fleet_reports.hpp"
+
+#include <fulmarjunction/core/message.hpp>
+#include <fulmarjunction/fleet/fleet_view.hpp>
+#include <fulmarjunction/store/fleet_store.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <string>
+
+namespace fulmarjunction {
+
+/// Enters the node into the shared store, finds the other nodes there, and
+/// removes the node when it stops.
+class fleet_registration
+{
+public:
+    struct dependencies
+    {
+        fleet_store* store = nullptr;
+        fleet_view* fleet = nullptr;
+        fleet_reports* reports = nullptr;
+    };
+
+    fleet_registration(
+        boost::asio::any_io_executor executor, dependencies deps);
+
+    /// Writes the node's row, then reads those of the others, until both have
+    /// succeeded. In this order, at least one of two nodes that start at the
+    /// same time finds the other.
+    /// @return the secret that the nodes share
+    awaitable<std::string> enter();
+
+    /// Removes the node's row.
+    awaitable<void> leave();
+
+private:
+    awaitable<result<void>> write_row();
+    awaitable<result<std::string>> read_rows();
+
+    boost::asio::any_io_executor executor_;
+    dependencies deps_;
+};
+
+} // namespace fulmarjunction
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -1,16 +1,7 @@
-#include "config_follower.hpp"
-#include "fleet_reports.hpp"
-#include "suspect_link.hpp"
+#include "mesh_node_impl.hpp"
 
 #include <fulmarjunction/core/address.hpp>
 #include <fulmarjunction/core/log.hpp>
-#include <fulmarjunction/core/timer_service.hpp>
-#include <fulmarjunction/mesh/caller_entry.hpp>
-#include <fulmarjunction/mesh/config_copy.hpp>
-#include <fulmarjunction/mesh/fleet_link.hpp>
-#include <fulmarjunction/mesh/forwarder.hpp>
-#include <fulmarjunction/mesh/gate_service.hpp>
-#include <fulmarjunction/mesh/mesh_node.hpp>
 #include <fulmarjunction/peer/control.hpp>
 #include <fulmarjunction/suspects/suspect_reports.hpp>
 
@@ -18,13 +9,11 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <sodium.h>
 
 #include <algorithm>
 #include <random>
-#include <unordered_map>
 #include <utility>
 
 namespace fulmarjunction {
@@ -47,17 +36,6 @@
 /// it may still reach the store and only be cut off from its peers.
 constexpr seconds unresponsive_retention(30);
 
-/// The platform needs two readiness checks, one second apart, to notice that a
-/// node is not ready. Until then it keeps sending callers.
-constexpr milliseconds readiness_lag(2600);
-/// Fraction of the stop limit during which peers may still use the backend
-/// server of a stopping node. The node has to wait for its callers anyway, and
-/// its slots are missing until it is back. The last requests have the rest of
-/// the limit.
-constexpr double serve_peers_fraction = 0.35;
-/// Fraction of the stop limit after which the node stops waiting for requests.
-constexpr double finish_fraction = 0.87;
-constexpr milliseconds stop_poll_interval(20);
 constexpr milliseconds tick_period(250);
 
 /// Delay before a request that was in flight at two crashes runs once more. A
@@ -100,85 +78,6 @@
 
 } // namespace
 
-class mesh_node::impl
-{
-public:
-    impl(
-        asio::io_context& context, mesh_settings settings,
-        mesh_adapter adapter);
-
-    result<void> start(std::function<void()> tick_action);
-    void reload(const mesh_settings& settings);
-    void stop(std::function<void()> on_stopped);
-
-private:
-    result<void> listen(
-        http_server& server, const mesh_settings::address& address,
-        std::string_view role);
-    void create_components();
-    void backend_changed();
-    void
-    on_call_refused(const call_context& request, const service_name& service);
-    bool is_ready() const;
-
-    awaitable<void> drive_timers();
-    awaitable<void> join();
-    void apply_limits(const connection_limits& limits);
-    awaitable<result<void>> write_row();
-    awaitable<result<std::string>> read_rows();
-    awaitable<std::string> register_node();
-    awaitable<void> read_config(cancel_event has_read);
-    awaitable<void> query_backend_health();
-    result<void> open_peers(const std::string& secret);
-    awaitable<streamed_response> serve_peer(peer_request request);
-    awaitable<streamed_response> serve_metrics(http_request request);
-    awaitable<void> remove_row();
-    void leave_fleet();
-    awaitable<void> run_stop(std::function<void()> on_stopped);
-    awaitable<void>
-    wait_until(std::function<bool()> is_done, time_point deadline);
-    bool is_idle() const;
-
-    asio::any_io_executor executor_;
-    mesh_settings settings_;
-    mesh_adapter adapter_;
-    timer_service timers_;
-    asio::steady_timer wake_up_;
-
-    mesh_metrics metrics_;
-    config_copy config_;
-    backend_monitor monitor_;
-    fleet_view fleet_;
-    placement placement_;
-    service_budget budget_;
-    account_ledger ledger_;
-    token_cache tokens_;
-    split_chooser splits_;
-    root_shedding shedding_;
-    suspect_list suspects_;
-
-    std::shared_ptr<gate_service> gate_;
-    std::unique_ptr<peer_client> peer_client_;
-    std::unique_ptr<peer_server> peer_server_;
-    std::unique_ptr<config_follower> follower_;
-    std::unique_ptr<fleet_reports> reports_;
-    std::unique_ptr<fleet_link> link_;
-    std::unique_ptr<suspect_link> suspect_link_;
-    std::unique_ptr<forwarder> forwarder_;
-    std::unique_ptr<caller_entry> entry_;
-    std::unique_ptr<http_server> callers_;
-    std::unique_ptr<http_server> ready_server_;
-    std::unique_ptr<http_server> heartbeat_server_;
-    std::unique_ptr<http_server> metrics_server_;
-    std::vector<timer_service::subscription> subscriptions_;
-    time_point started_at_ = clock::now();
-    bool has_joined_ = false;
-    bool is_stopping_ = false;
-    /// Whether the leave has been announced, so that peers send no new
-    /// requests.
-    bool has_left_ = false;
-};
-
 mesh_node::impl::impl(
     asio::io_context& context, mesh_settings settings, mesh_adapter adapter)
     : executor_(context.get_executor()), settings_(std::move(settings)),
@@ -218,6 +117,9 @@
             link_->announce();
     };
     reports_ = std::make_unique<fleet_reports>(executor_, std::move(reporting));
+    registration_ = std::make_unique<fleet_registration>(
+        executor_, fleet_registration::dependencies{
+                       adapter_.store.get(), &fleet_, reports_.get()});
     monitor_.on_change = [this] { backend_changed(); };
     fleet_.on_change = [this] { reports_->refresh_targets(); };
     fleet_.on_report = [this](const node_report& report) {
@@ -449,55 +351,6 @@
     return boost::outcome_v2::success();
 }
 
-/// Writes the node's row, which starts a new incarnation.
-awaitable<result<void>> mesh_node::impl::write_row()
-{
-    const auto incarnation =
-        co_await adapter_.store->put_node(reports_->own_report());
-    if (!incarnation)
-        co_return incarnation.error();
-    reports_->set_incarnation(incarnation.value());
-    co_return boost::outcome_v2::success();
-}
-
-/// Reads the rows of the other nodes and returns the shared secret.
-awaitable<result<std::string>> mesh_node::impl::read_rows()
-{
-    auto rows = co_await adapter_.store->read_fleet();
-    if (!rows)
-        co_return rows.error();
-    for (const auto& row : rows.value().nodes)
-        fleet_.learn(row, clock::now());
-    if (rows.value().secret)
-        co_return std::move(*rows.value().secret);
-    co_return co_await adapter_.store->create_secret();
-}
-
-/// Writes the node's row, then reads those of the others. In this order, at
-/// least one of two nodes that start at the same time finds the other.
-/// @return the secret that the nodes share
-awaitable<std::string> mesh_node::impl::register_node()
-{
-    bool has_written = false;
-    for (unsigned failures = 1;; ++failures) {
-        if (!has_written) {
-            const auto written = co_await write_row();
-            has_written = written.has_value();
-            if (!written)
-                log(log_level::warning, "row_not_written",
-                    {{"error", to_string(written.error())}});
-        }
-        if (has_written) {
-            auto secret = co_await read_rows();
-            if (secret)
-                co_return std::move(secret.value());
-            log(log_level::warning, "rows_not_read",
-                {{"error", to_string(secret.error())}});
-        }
-        co_await wait_before_retry(failures, executor_);
-    }
-}
-
 /// Reads the first configuration, signals `has_read` and queries the health of
 /// the backend server.
 awaitable<void> mesh_node::impl::read_config(cancel_event has_read)
@@ -530,7 +383,7 @@
 {
     const cancel_event has_read(executor_);
     asio::co_spawn(executor_, read_config(has_read), asio::detached);
-    const auto secret = co_await register_node();
+    const auto secret = co_await registration_->enter();
     const auto opened = open_peers(secret);
     if (!opened) {
         log(log_level::error, "start_failed",
@@ -613,75 +466,6 @@
         std::move(context.value()), std::move(message), canceled);
 }
 
-bool mesh_node::impl::is_idle() const
-{
-    return callers_->requests_in_flight() == 0 && gate_->running() == 0 &&
-           gate_->waiting() == 0;
-}
-
-void mesh_node::impl::stop(std::function<void()> on_stopped)
-{
-    if (std::exchange(is_stopping_, true))
-        return;
-    log(log_level::info, "stopping",
-        {{"running", gate_->running()},
-         {"callers", callers_->requests_in_flight()}});
-    asio::co_spawn(executor_, run_stop(std::move(on_stopped)), asio::detached);
-}
-
-awaitable<void>
-mesh_node::impl::wait_until(std::function<bool()> is_done, time_point deadline)
-{
-    asio::steady_timer timer(executor_);
-    while (!is_done() && clock::now() < deadline) {
-        timer.expires_after(stop_poll_interval);
-        co_await timer.async_wait(asio::use_awaitable);
-    }
-}
-
-awaitable<void> mesh_node::impl::remove_row()
-{
-    const auto removed =
-        co_await adapter_.store->remove_node(reports_->own_report());
-    if (!removed) {
-        log(log_level::warning, "row_not_removed",
-            {{"error", to_string(removed.error())}});
-    }
-}
-
-void mesh_node::impl::leave_fleet()
-{
-    has_left_ = true;
-    reports_->refresh_targets();
-    if (!has_joined_)
-        return;
-    link_->announce_leave();
-    asio::co_spawn(executor_, remove_row(), asio::detached);
-}
-
-awaitable<void> mesh_node::impl::run_stop(std::function<void()> on_stopped)
-{
-    const auto started_at = clock::now();
-    const auto limit_s = to_seconds(settings_.stop_limit);
-    const auto finish_deadline =
-        started_at + from_seconds(limit_s * finish_fraction);
-    co_await wait_until(
-        [this] { return monitor_.state(clock::now()) != backend_state::ready; },
-        started_at + from_seconds(limit_s * serve_peers_fraction));
-    leave_fleet();
-    // Callers keep arriving until the platform has noticed. The node must also
-    // forward the calls of requests that still run at its backend server.
-    co_await wait_until([] { return false; }, started_at + readiness_lag);
-    co_await wait_until(
-        [this] { return gate_->running() == 0; }, finish_deadline);
-    callers_->begin_shutdown();
-    co_await wait_until([this] { return is_idle(); }, finish_deadline);
-    log(log_level::info, "stopped",
-        {{"seconds", to_seconds(clock::now() - started_at)},
-         {"unfinished", callers_->requests_in_flight()}});
-    on_stopped();
-}
-
 mesh_node::mesh_node(
     asio::io_context& context, mesh_settings settings, mesh_adapter adapter)
     : impl_(std::make_unique<impl>(
--- /dev/null
+++ b/src/mesh/mesh_node_stop.cpp
@@ -0,0 +1,83 @@
+// The planned stop of a node.
+
+#include "mesh_node_impl.hpp"
+
+#include <fulmarjunction/core/log.hpp>
+#include <fulmarjunction/serving/wait_until.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <utility>
+
+namespace fulmarjunction {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// The platform needs two readiness checks, one second apart, to notice that a
+/// node is not ready. Until then it keeps sending callers.
+constexpr milliseconds readiness_lag(2600);
+/// Fraction of the stop limit during which peers may still use the backend
+/// server of a stopping node. The node has to wait for its callers anyway, and
+/// its slots are missing until it is back. The last requests have the rest of
+/// the limit.
+constexpr double serve_peers_fraction = 0.35;
+/// Fraction of the stop limit after which the node stops waiting for requests.
+constexpr double finish_fraction = 0.87;
+
+} // namespace
+
+bool mesh_node::impl::is_idle() const
+{
+    return callers_->requests_in_flight() == 0 && gate_->running() == 0 &&
+           gate_->waiting() == 0;
+}
+
+void mesh_node::impl::stop(std::function<void()> on_stopped)
+{
+    if (std::exchange(is_stopping_, true))
+        return;
+    log(log_level::info, "stopping",
+        {{"running", gate_->running()},
+         {"callers", callers_->requests_in_flight()}});
+    asio::co_spawn(executor_, run_stop(std::move(on_stopped)), asio::detached);
+}
+
+void mesh_node::impl::leave_fleet()
+{
+    has_left_ = true;
+    reports_->refresh_targets();
+    if (!has_joined_)
+        return;
+    link_->announce_leave();
+    asio::co_spawn(executor_, registration_->leave(), asio::detached);
+}
+
+awaitable<void> mesh_node::impl::run_stop(std::function<void()> on_stopped)
+{
+    const auto started_at = clock::now();
+    const auto limit_s = to_seconds(settings_.stop_limit);
+    const auto finish_deadline =
+        started_at + from_seconds(limit_s * finish_fraction);
+    co_await wait_until(
+        executor_,
+        [this] { return monitor_.state(clock::now()) != backend_state::ready; },
+        started_at + from_seconds(limit_s * serve_peers_fraction));
+    leave_fleet();
+    // Callers keep arriving until the platform has noticed. The node must also
+    // forward the calls of requests that still run at its backend server.
+    co_await wait_until(executor_, nullptr, started_at + readiness_lag);
+    co_await wait_until(
+        executor_, [this] { return gate_->running() == 0; }, finish_deadline);
+    callers_->begin_shutdown();
+    co_await wait_until(
+        executor_, [this] { return is_idle(); }, finish_deadline);
+    log(log_level::info, "stopped",
+        {{"seconds", to_seconds(clock::now() - started_at)},
+         {"unfinished", callers_->requests_in_flight()}});
+    on_stopped();
+}
+
+} // namespace fulmarjunction
