http: an answer without end does not outlast the request's deadline

What callers saw: nothing yet. A backend server that sends the answer to another request, and goes on with its body until the connection is closed, held the request, its slot and its caller without a limit: the body of such an answer was read to its end with only a limit between two reads. The deadline applies now.

Cause: the limit on time covered the head of an answer and not what is skipped before it.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -141,7 +141,7 @@
     awaitable<result<void>> read_response_head(
         exchange& current, bool is_head, time_point deadline,
         const answer_filter& filter);
-    awaitable<bool> skip_body(exchange& current);
+    awaitable<bool> skip_body(exchange& current, time_point deadline);
     streamed_response make_response(const exchange_ptr& current) const;
     static awaitable<result<std::size_t>> read_response_body(
         exchange_ptr current, milliseconds idle_timeout,
@@ -307,12 +307,19 @@
 
 /// Reads and discards the rest of an answer to another request.
 /// @return whether another answer can follow on the connection
-awaitable<bool> http_client::impl::skip_body(exchange& current)
+awaitable<bool>
+http_client::impl::skip_body(exchange& current, time_point deadline)
 {
     std::array<char, 1024> ignored{};
     while (!current.reader->is_done()) {
+        // The body may have no end.
+        const auto left =
+            std::chrono::duration_cast<milliseconds>(deadline - clock::now());
+        if (left <= milliseconds::zero())
+            co_return false;
         const auto received = co_await message_reader::read_body(
-            current.reader, limits_.idle_timeout, asio::buffer(ignored));
+            current.reader, std::min(limits_.idle_timeout, left),
+            asio::buffer(ignored));
         if (!received)
             co_return false;
     }
@@ -336,7 +343,7 @@
             if (status >= min_final_status) {
                 if (!filter || filter(current.reader->head().headers))
                     co_return boost::outcome_v2::success();
-                const bool may_follow = co_await skip_body(current);
+                const bool may_follow = co_await skip_body(current, deadline);
                 if (!may_follow) {
                     co_return fail(
                         errc::connection_broken, "http.response", name_,
