--- a/src/process/poison_request_test.cpp
+++ b/src/process/poison_request_test.cpp
@@ -27,9 +27,7 @@
 
 // Guards against a request that crashes its backend server and, because its
 // caller keeps retrying it, crashes one backend server after the other.
-TEST_CASE(
-    "a retried request that crashes its server crashes at most two",
-    "[known-red]")
+TEST_CASE("a retried request that crashes its server crashes at most two")
 {
     fixture::deployment deployment;
     deployment.start_platform();
