mesh: decide again whether a request is suspect when it starts

What a server saw: copies of one request that waited at its gate ran one after the other, each in the process that was started after the crash of the one before. A process may start again under the id that it had, so the check of the id did not stop them.

Cause: the gate decided at the arrival of a request and did not look again after the wait for a slot and for a turn. It decides after the slot whether the request runs alone, and refuses it right before it would be sent.

--- a/src/mesh/crashing_request_test.cpp
+++ b/src/mesh/crashing_request_test.cpp
@@ -112,14 +112,16 @@
         CHECK(fleet.send("/books/1", key).status == 200);
     for (const auto& instance : fleet.instances)
         instance->service_time = milliseconds(200);
+    constexpr int besides = 4;
     std::vector<std::shared_ptr<std::optional<test_fleet::answer>>> answers;
-    for (int i = 0; i < 4; ++i) {
+    answers.reserve(besides);
+    for (int i = 0; i < besides; ++i) {
         answers.push_back(start(
             fleet.exchange(fmt::format("/books/beside-{}", i), key, 0, "GET")));
     }
     const auto crash = start(fleet.exchange(crashing_path, key, 0, "GET"));
     run_until([&] { return crash->has_value(); });
-    for (int i = 0; i < 4; ++i) {
+    for (int i = 0; i < besides; ++i) {
         run_until([&] { return answers[i]->has_value(); });
         CHECK((*answers[i])->status == 200);
         wait_for(milliseconds(500));
@@ -181,3 +183,27 @@
     CHECK(fleet.send(crashing_path, "key-2").status == 503);
     CHECK(count_crashes(fleet) == 2);
 }
+
+// Guards against copies of a request that wait at the same gate and crash each
+// process that the backend server starts meanwhile under its old id.
+TEST_CASE("copies that wait while a request crashes servers do not run")
+{
+    auto& fleet = make_book_fleet();
+    for (const auto& instance : fleet.instances) {
+        instance->keeps_id = true;
+        instance->restart_delay = milliseconds(50);
+        instance->service_time = milliseconds(100);
+    }
+    send_crashing(fleet, 1);
+    CHECK(count_crashes(fleet) == 1);
+    std::vector<std::shared_ptr<std::optional<test_fleet::answer>>> answers;
+    constexpr std::size_t copies = 10;
+    answers.reserve(copies);
+    for (std::size_t i = 0; i < copies; ++i) {
+        answers.push_back(
+            start(fleet.exchange(crashing_path, key, i % 5, "GET")));
+    }
+    for (const auto& answer : answers)
+        run_until([&] { return answer->has_value(); });
+    CHECK(count_crashes(fleet) == 2);
+}
--- a/src/mesh/fleet_registration.cpp
+++ b/src/mesh/fleet_registration.cpp
@@ -10,7 +10,7 @@
 
 fleet_registration::fleet_registration(
     boost::asio::any_io_executor executor, dependencies deps)
-    : executor_(std::move(executor)), deps_(std::move(deps))
+    : executor_(std::move(executor)), deps_(deps)
 {
 }
 
--- a/src/mesh/gate_service.cpp
+++ b/src/mesh/gate_service.cpp
@@ -222,6 +222,23 @@
     return std::nullopt;
 }
 
+suspect_decision
+gate_service::decide_suspicion(const call_context& context) const
+{
+    return deps_.suspects->decide_local(
+        context.print, context.is_crash_retry, clock::now());
+}
+
+std::optional<node_answer>
+gate_service::check_suspicion(const call_context& context) const
+{
+    const auto suspicion = decide_suspicion(context);
+    if (suspicion.action != suspect_action::refuse)
+        return std::nullopt;
+    return node_answer{
+        node_refusal::suspect_request, true, false, suspicion.retry_after};
+}
+
 void gate_service::advance()
 {
     const auto decisions = gate_.advance(clock::now());
@@ -315,13 +332,8 @@
     if (const auto refusal = check_backend(context))
         co_return refuse(context, *refusal);
     const auto arrived_at = clock::now();
-    const auto suspicion = deps_.suspects->decide_local(
-        context.print, context.is_crash_retry, arrived_at);
-    if (suspicion.action == suspect_action::refuse) {
-        co_return refuse(
-            context, {node_refusal::suspect_request, true, false,
-                      suspicion.retry_after});
-    }
+    if (const auto refusal = check_suspicion(context))
+        co_return refuse(context, *refusal);
     const auto id = next_id_++;
     const auto refused = co_await wait_for_slot(id, context, canceled);
     const auto waited = clock::now() - arrived_at;
@@ -331,7 +343,8 @@
     if (refused)
         co_return refuse(context, *refused);
     auto held = std::make_shared<slot>(shared_from_this(), id, context.print);
-    const bool alone = suspicion.action == suspect_action::run_alone;
+    const bool alone =
+        decide_suspicion(context).action == suspect_action::run_alone;
     if (!co_await turns_.wait(id, alone, context.deadline, canceled)) {
         co_return refuse(
             context,
@@ -462,9 +475,12 @@
     cancel_event canceled)
 {
     costs_.count_run();
-    // The backend server may have changed while the request waited.
+    // The backend server may have changed while the request waited, and equal
+    // requests may have crashed others.
     if (const auto refusal = check_backend(context))
         co_return refuse(context, *refusal);
+    if (const auto refusal = check_suspicion(context))
+        co_return refuse(context, *refusal);
     const auto now = clock::now();
     const auto left =
         std::chrono::duration_cast<milliseconds>(context.deadline - now);
--- a/src/mesh/mesh_test_fleet.hpp
+++ b/src/mesh/mesh_test_fleet.hpp
@@ -268,8 +268,9 @@
     /// Returns the id of the current process of the backend server.
     std::string backend_id() const
     {
-        return backend_starts == 1 ? name + "-run"
-                                   : fmt::format("{}-{}", name, backend_starts);
+        return backend_starts == 1 || keeps_id
+                   ? name + "-run"
+                   : fmt::format("{}-{}", name, backend_starts);
     }
 
     void send_heartbeat(bool is_draining = false)
@@ -322,6 +323,8 @@
     std::unique_ptr<fj::http_server> backend;
     std::int64_t backend_starts = 0;
     bool is_backend_running = false;
+    /// Whether later processes of the backend server have the id of the first.
+    bool keeps_id = false;
     milliseconds restart_delay{300};
     int crashes = 0;
     bool resets_connections = false;
