mesh: learn the other nodes only once they can be reached

Cause: a node learned the rows of the others before its peer client existed. Only the node that creates the shared secret waits for another store call in between, so only the first of a fleet was hit: when the heartbeat of its backend server arrived in that time, it announced its state to all known nodes through a null peer client. Ruled out: connections of many nodes at once (the last lines come before the node listens for peers).

Change: the registration returns the rows, and the node learns them after the peer client has been created, so nothing can be sent before.

Test: "a heartbeat does not crash a node that is still creating the secret", SIGSEGV before, passes now.

--- a/src/mesh/fleet_registration.cpp
+++ b/src/mesh/fleet_registration.cpp
@@ -25,20 +25,27 @@
     co_return boost::outcome_v2::success();
 }
 
-/// Reads the rows of the other nodes and returns the shared secret.
-awaitable<result<std::string>> fleet_registration::read_rows()
+/// Reads the rows of all nodes and the secret, which it creates if there is
+/// none.
+awaitable<result<fleet_entry>> fleet_registration::read_rows()
 {
     auto rows = co_await deps_.store->read_fleet();
     if (!rows)
         co_return rows.error();
-    for (const auto& row : rows.value().nodes)
-        deps_.fleet->learn(row, clock::now());
-    if (rows.value().secret)
-        co_return std::move(*rows.value().secret);
-    co_return co_await deps_.store->create_secret();
+    fleet_entry entry;
+    entry.nodes = std::move(rows.value().nodes);
+    if (rows.value().secret) {
+        entry.secret = std::move(*rows.value().secret);
+        co_return entry;
+    }
+    auto created = co_await deps_.store->create_secret();
+    if (!created)
+        co_return created.error();
+    entry.secret = std::move(created.value());
+    co_return entry;
 }
 
-awaitable<std::string> fleet_registration::enter()
+awaitable<fleet_entry> fleet_registration::enter()
 {
     bool has_written = false;
     for (unsigned failures = 1;; ++failures) {
@@ -50,11 +57,11 @@
                     {{"error", to_string(written.error())}});
         }
         if (has_written) {
-            auto secret = co_await read_rows();
-            if (secret)
-                co_return std::move(secret.value());
+            auto entry = co_await read_rows();
+            if (entry)
+                co_return std::move(entry.value());
             log(log_level::warning, "rows_not_read",
-                {{"error", to_string(secret.error())}});
+                {{"error", to_string(entry.error())}});
         }
         co_await wait_before_retry(failures, executor_);
     }
--- a/src/mesh/fleet_registration.hpp
+++ b/src/mesh/fleet_registration.hpp
@@ -5,15 +5,24 @@
 #include "fleet_reports.hpp"
 
 #include <fulmarjunction/core/message.hpp>
-#include <fulmarjunction/fleet/fleet_view.hpp>
 #include <fulmarjunction/store/fleet_store.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 
 #include <string>
+#include <vector>
 
 namespace fulmarjunction {
 
+/// What a node learns from the shared store when it enters the fleet.
+struct fleet_entry
+{
+    /// Secret with which nodes authenticate each other.
+    std::string secret;
+    /// Rows of all nodes, including this one's.
+    std::vector<node_report> nodes;
+};
+
 /// Enters the node into the shared store, finds the other nodes there, and
 /// removes the node when it stops.
 class fleet_registration
@@ -22,7 +31,6 @@
     struct dependencies
     {
         fleet_store* store = nullptr;
-        fleet_view* fleet = nullptr;
         fleet_reports* reports = nullptr;
     };
 
@@ -32,15 +40,14 @@
     /// Writes the node's row, then reads those of the others, until both have
     /// succeeded. In this order, at least one of two nodes that start at the
     /// same time finds the other.
-    /// @return the secret that the nodes share
-    awaitable<std::string> enter();
+    awaitable<fleet_entry> enter();
 
     /// Removes the node's row.
     awaitable<void> leave();
 
 private:
     awaitable<result<void>> write_row();
-    awaitable<result<std::string>> read_rows();
+    awaitable<result<fleet_entry>> read_rows();
 
     boost::asio::any_io_executor executor_;
     dependencies deps_;
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -118,8 +118,8 @@
     };
     reports_ = std::make_unique<fleet_reports>(executor_, std::move(reporting));
     registration_ = std::make_unique<fleet_registration>(
-        executor_, fleet_registration::dependencies{
-                       adapter_.store.get(), &fleet_, reports_.get()});
+        executor_,
+        fleet_registration::dependencies{adapter_.store.get(), reports_.get()});
     monitor_.on_change = [this] { backend_changed(); };
     fleet_.on_change = [this] { reports_->refresh_targets(); };
     fleet_.on_report = [this](const node_report& report) {
@@ -383,8 +383,8 @@
 {
     const cancel_event has_read(executor_);
     asio::co_spawn(executor_, read_config(has_read), asio::detached);
-    const auto secret = co_await registration_->enter();
-    const auto opened = open_peers(secret);
+    const auto entry = co_await registration_->enter();
+    const auto opened = open_peers(entry.secret);
     if (!opened) {
         log(log_level::error, "start_failed",
             {{"error", to_string(opened.error())}});
@@ -428,6 +428,9 @@
     }
     answer.headers = {{"content-type", "text/plain; version=0.0.4"}};
     answer.content_length = text.size();
+    // Only now: reports go to all known nodes, and need the peer client.
+    for (const auto& row : entry.nodes)
+        fleet_.learn(row, clock::now());
     answer.body = string_body(std::move(text));
     co_return answer;
 }
--- a/src/mesh/mesh_nodes_test.cpp
+++ b/src/mesh/mesh_nodes_test.cpp
@@ -136,6 +136,19 @@
     CHECK(fleet.instances[3]->heartbeats == 0);
 }
 
+// Guards against a node that knows others before it can send to them: the
+// heartbeat of its backend server crashed it.
+TEST_CASE("a heartbeat does not crash a node that is still creating the secret")
+{
+    auto& fleet = make_fleet();
+    auto& joining = fleet.start_with_slow_secret("n4", "books");
+    joining.send_heartbeat();
+    run_until([&] { return joining.is_ready(); });
+    fleet.instances[1]->send_heartbeat(true);
+    fleet.instances[2]->send_heartbeat(true);
+    run_until([&] { return fleet.send("/books/1", "key-1").body == "n4"; });
+}
+
 // Guards against requests that are cut off when their entry node stops.
 TEST_CASE("a stopping node finishes its running requests")
 {
--- a/src/mesh/mesh_test_fleet.hpp
+++ b/src/mesh/mesh_test_fleet.hpp
@@ -32,6 +32,8 @@
     std::string secret;
     fj::incarnation_number last_incarnation = 0;
     bool is_unavailable = false;
+    /// Time that the store takes to create the secret.
+    milliseconds secret_delay{};
 };
 
 class memory_store : public fj::fleet_store
@@ -78,6 +80,8 @@
 
     fj::awaitable<fj::result<std::string>> create_secret() override
     {
+        asio::steady_timer timer(io(), rows_->secret_delay);
+        co_await timer.async_wait(use_awaitable);
         if (rows_->secret.empty())
             rows_->secret = "0123456789abcdef0123456789abcdef";
         co_return rows_->secret;
@@ -388,6 +392,22 @@
         return added;
     }
 
+    /// Adds a node that finds no secret in the store, and returns while the
+    /// store still creates one.
+    test_instance&
+    start_with_slow_secret(const std::string& name, const std::string& service)
+    {
+        rows->secret.clear();
+        rows->secret_delay = milliseconds(1000);
+        instances.push_back(std::make_unique<test_instance>(
+            rows, name, service, milliseconds(60'000)));
+        run_until([&] { return rows->nodes.count(name) == 1; });
+        // Leaves the node time to read the rows and the configuration.
+        const auto until = fj::clock::now() + milliseconds(200);
+        run_until([&] { return fj::clock::now() >= until; });
+        return *instances.back();
+    }
+
     static fj::route
     make_route(std::string name, std::string prefix, bool is_public)
     {
