mesh: grant no tokens before the node has joined

Cause: a node that knows no others takes itself for the keeper of each account's ledger. While it registered, it granted a whole rate of its own or, once it knew the others, used the missing peer client.

Change: until the peer client exists a request that needs tokens is refused with 503; the node is not ready at that time.

Test: "a node that has not joined grants no tokens", SIGSEGV before.

--- a/src/mesh/fleet_link.cpp
+++ b/src/mesh/fleet_link.cpp
@@ -331,6 +331,9 @@
 awaitable<token_answer> fleet_link::take_tokens(
     account_plan plan, std::size_t wanted, time_point deadline)
 {
+    // Which node keeps the ledger is not known before this one has joined.
+    if (deps_.peers() == nullptr)
+        co_return token_answer{};
     const auto ledger_node = deps_.fleet->ledger_node(plan.name);
     const auto* member = deps_.fleet->find(ledger_node);
     if (member == nullptr) {
--- a/src/mesh/mesh_nodes_test.cpp
+++ b/src/mesh/mesh_nodes_test.cpp
@@ -149,6 +149,23 @@
     run_until([&] { return fleet.send("/books/1", "key-1").body == "n4"; });
 }
 
+// Guards against a node that takes itself for the keeper of a ledger while it
+// does not know the other nodes yet.
+TEST_CASE("a node that has not joined grants no tokens")
+{
+    auto& fleet = make_fleet();
+    fleet.rows->config.accounts[0].plan.rate = 1000;
+    fleet.publish();
+    auto& joining = fleet.start_with_slow_secret("n4", "books");
+    joining.send_heartbeat();
+    const auto index = fleet.instances.size() - 1;
+    CHECK(fleet.send("/books/1", "key-1", index).status == 503);
+    CHECK_FALSE(joining.is_ready());
+    run_until([&] { return joining.is_ready(); });
+    run_until(
+        [&] { return fleet.send("/books/1", "key-1", index).status == 200; });
+}
+
 // Guards against requests that are cut off when their entry node stops.
 TEST_CASE("a stopping node finishes its running requests")
 {
