core: an exception in a handler or timer does not end the process

Cause: an exception that left a handler ended the event loop and with it the process. One that left a timer's callback ended the coroutine that drives all timers: the node ran on without exchanges and checks.

Change: run_context logs the exception and goes on; timer_service catches what a callback throws.

Tests: "an exception in a handler does not end the event loop", "a timer callback that throws does not stop the others"; both need the new code to compile or throw without it.

--- a/include/fulmarjunction/core/timer_service.hpp
+++ b/include/fulmarjunction/core/timer_service.hpp
@@ -68,7 +68,8 @@
     /// Returns the due time of the next callback, if any.
     std::optional<time_point> next_due() const;
 
-    /// Sets the time and runs all due callbacks in order of due time.
+    /// Sets the time and runs all due callbacks in order of due time. An
+    /// exception that a callback throws is logged.
     void advance(time_point now);
 
     /// Called when a new subscription is due before all others, so that a
--- a/src/core/core_test.cpp
+++ b/src/core/core_test.cpp
@@ -2,17 +2,51 @@
 #include <fulmarjunction/core/log.hpp>
 #include <fulmarjunction/core/log_output.hpp>
 #include <fulmarjunction/core/names.hpp>
+#include <fulmarjunction/core/run_context.hpp>
 #include <fulmarjunction/core/timer_service.hpp>
 
+#include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
 
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <stdexcept>
 #include <vector>
 
 namespace fj = fulmarjunction;
 
+// Guards against a process that ends because one handler throws.
+TEST_CASE("an exception in a handler does not end the event loop", "[core]")
+{
+    boost::asio::io_context context;
+    bool has_run = false;
+    boost::asio::post(context, [] { throw std::runtime_error("test"); });
+    boost::asio::post(context, [&] { has_run = true; });
+    fj::run_context(context);
+    CHECK(has_run);
+}
+
+// Guards against a node whose exchanges and checks stop for good because one of
+// its periodic callbacks throws.
+TEST_CASE("a timer callback that throws does not stop the others", "[core]")
+{
+    const fj::time_point start{};
+    fj::timer_service timers(start);
+    int failures = 0;
+    int calls = 0;
+    const auto failing = timers.every(fj::seconds(1), [&](fj::time_point) {
+        ++failures;
+        throw std::runtime_error("test");
+    });
+    const auto other =
+        timers.every(fj::seconds(1), [&](fj::time_point) { ++calls; });
+    timers.advance(start + fj::seconds(1));
+    timers.advance(start + fj::seconds(2));
+    CHECK(failures == 2);
+    CHECK(calls == 2);
+}
+
 TEST_CASE("log_quote: input cannot inject lines or fields", "[core]")
 {
     CHECK(fj::log_quote("plain") == "plain");
--- a/src/core/timer_service.cpp
+++ b/src/core/timer_service.cpp
@@ -1,6 +1,9 @@
 #include <fulmarjunction/core/timer_service.hpp>
 
+#include <fulmarjunction/core/log.hpp>
+
 #include <algorithm>
+#include <exception>
 
 namespace fulmarjunction {
 
@@ -66,7 +69,13 @@
             due_by_id_.emplace(id, due);
             entries_.emplace(due_key{due, id}, std::move(current));
         }
-        action(now_);
+        // One callback that fails must not end the timers of all others.
+        try {
+            action(now_);
+        } catch (const std::exception& failure) {
+            log(log_level::error, "timer_callback_failed",
+                {{"what", failure.what()}});
+        }
     }
 }
 
--- a/src/daemon/fulmard_main.cpp
+++ b/src/daemon/fulmard_main.cpp
@@ -3,6 +3,7 @@
 
 #include <fulmarjunction/core/log.hpp>
 #include <fulmarjunction/core/log_output.hpp>
+#include <fulmarjunction/core/run_context.hpp>
 #include <fulmarjunction/daemon/node.hpp>
 #include <fulmarjunction/mesh/mesh_node.hpp>
 #include <fulmarjunction/settings/settings.hpp>
@@ -123,7 +124,7 @@
             });
     };
     wait_for_signal();
-    context.run();
+    fj::run_context(context);
     return is_forced ? exit_failed : exit_ok;
 }
 
