mesh: send no request on whose caller has already left

Cause: a node that is short of processor time reads requests late, and notices the end of a connection only a turn of the event loop after the request before it. The request was sent on in between.

Change: the entry asks the kernel for the state of the caller's connection before it does any work for the request.

--- a/include/fulmarjunction/http/http.hpp
+++ b/include/fulmarjunction/http/http.hpp
@@ -42,6 +42,9 @@
     /// also while the response is being sent. A caller that half-closes its
     /// connection counts as disconnected but still gets the response.
     std::function<void(std::function<void()>)> on_cancel;
+    /// Returns whether the caller has closed its connection, also when the end
+    /// has not been read yet.
+    std::function<bool()> has_caller_left;
 };
 
 /// Answers a request. When the request's body was not read to its end, the
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -427,6 +427,9 @@
         [cancellation = pending.cancellation](std::function<void()> action) {
             cancellation->add(std::move(action));
         };
+    request.has_caller_left = [conn = current.conn] {
+        return conn->has_ended() || conn->stream().is_peer_gone();
+    };
     if (head.expects_continue) {
         reader->before_body = [conn = current.conn, idle_timeout] {
             return send_continue(conn, idle_timeout);
--- a/src/mesh/caller_entry.cpp
+++ b/src/mesh/caller_entry.cpp
@@ -224,6 +224,9 @@
         matched_route.timeout, claims.time_limit.value_or(milliseconds::max()));
     const auto arrived_at = clock::now();
     const auto deadline = arrived_at + limit;
+    // A node that is short of processor time reads requests late.
+    if (incoming.has_caller_left())
+        co_return make_refusal(node_refusal::canceled);
     if (const auto refused = shed(request))
         co_return *refused;
     const cancel_event canceled(executor_);
--- a/src/mesh/mesh_nodes_test.cpp
+++ b/src/mesh/mesh_nodes_test.cpp
@@ -136,6 +136,25 @@
     CHECK(fleet.instances[3]->heartbeats == 0);
 }
 
+// Guards against work for callers that have left: a node that is short of
+// processor time reads their requests late.
+TEST_CASE("a request whose caller has left before it is read is not sent on")
+{
+    auto& fleet = make_fleet();
+    for (int i = 0; i < 10; ++i) {
+        tcp::socket caller(io());
+        caller.connect(fleet.instances[0]->settings.callers);
+        const std::string text =
+            "GET /books/1 HTTP/1.1\r\nhost: h\r\nid: left\r\n"
+            "key: key-1\r\n\r\n";
+        asio::write(caller, asio::buffer(text));
+        caller.close();
+    }
+    const auto until = fj::clock::now() + milliseconds(300);
+    run_until([&] { return fj::clock::now() >= until; });
+    CHECK(fleet.instances[1]->runs + fleet.instances[2]->runs == 0);
+}
+
 // Guards against a node that knows others before it can send to them: the
 // heartbeat of its backend server crashed it.
 TEST_CASE("a heartbeat does not crash a node that is still creating the secret")
