retry: refuse at the sender what a service would refuse

Reports name the service and the rate of such refusals, and its gates count them as refused calls, so that the entries shed roots.

--- a/include/fulmarjunction/fleet/fleet_view.hpp
+++ b/include/fulmarjunction/fleet/fleet_view.hpp
@@ -54,6 +54,10 @@
     /// How far calls exceed the capacity of the backend server; see
     /// `call_pressure`.
     double pressure = 0;
+    /// Service for which this node refuses the most requests itself, without
+    /// sending them, and how many per second; see `refusal_throttle`.
+    service_name throttled_service;
+    double throttled_per_s = 0;
 };
 
 /// Formats a report for the wire between nodes.
--- a/include/fulmarjunction/gate/call_pressure.hpp
+++ b/include/fulmarjunction/gate/call_pressure.hpp
@@ -60,6 +60,10 @@
     /// @param is_call whether a backend server sent it
     void count(bool is_call, gate_outcome result);
 
+    /// Counts calls that their senders refused themselves, since this gate and
+    /// others of the service refuse most of them.
+    void count_throttled(double calls);
+
     /// Updates the level if the current window has ended.
     /// @param usage fraction of the slots in use now
     /// @return whether the level rose
--- a/include/fulmarjunction/mesh/forwarder.hpp
+++ b/include/fulmarjunction/mesh/forwarder.hpp
@@ -10,6 +10,7 @@
 #include <fulmarjunction/mesh/mesh_metrics.hpp>
 #include <fulmarjunction/mesh/wire_format.hpp>
 #include <fulmarjunction/peer/peer.hpp>
+#include <fulmarjunction/retry/refusal_throttle.hpp>
 #include <fulmarjunction/retry/service_budget.hpp>
 #include <fulmarjunction/serving/body.hpp>
 #include <fulmarjunction/serving/cancel_event.hpp>
@@ -55,6 +56,7 @@
         fleet_view* fleet = nullptr;
         placement* target_placement = nullptr;
         service_budget* budget = nullptr;
+        refusal_throttle* throttle = nullptr;
         suspect_list* suspects = nullptr;
         const wire_format* format = nullptr;
         mesh_metrics* metrics = nullptr;
--- a/src/fleet/fleet_test.cpp
+++ b/src/fleet/fleet_test.cpp
@@ -54,6 +54,8 @@
     report.load = 3;
     report.run_cost = 4.25;
     report.pressure = 0.31;
+    report.throttled_service = "books";
+    report.throttled_per_s = 12.5;
     const auto read = fj::parse_report(fj::format_report(report));
     REQUIRE(read);
     CHECK(read.value().node == "a");
@@ -62,6 +64,8 @@
     CHECK(read.value().load == 3);
     CHECK(read.value().run_cost == Approx(4.25));
     CHECK(read.value().pressure == Approx(0.31));
+    CHECK(read.value().throttled_service == "books");
+    CHECK(read.value().throttled_per_s == Approx(12.5));
     CHECK_FALSE(fj::parse_report("{}"));
     CHECK_FALSE(fj::parse_report("nonsense"));
 }
--- a/src/fleet/fleet_view.cpp
+++ b/src/fleet/fleet_view.cpp
@@ -24,6 +24,8 @@
 constexpr std::size_t nodes_per_store_reader = 40;
 
 constexpr std::uint64_t max_slots = 1'000'000;
+/// In hundredths of requests per second.
+constexpr std::uint64_t max_throttled = 1'000'000'000;
 /// Costs and pressures are sent as whole hundredths.
 constexpr double wire_scale = 100;
 
@@ -87,6 +89,10 @@
     };
     if (report.pressure > 0)
         text["p"] = to_hundredths(report.pressure);
+    if (report.throttled_per_s > 0) {
+        text["w"] = report.throttled_service;
+        text["v"] = to_hundredths(report.throttled_per_s);
+    }
     return json::serialize(text);
 }
 
@@ -112,6 +118,11 @@
     report.run_cost = from_hundredths(fields.number("c", max_slots));
     if (fields.has("p"))
         report.pressure = from_hundredths(fields.number("p", max_slots));
+    if (fields.has("w")) {
+        report.throttled_service = fields.text("w", max_name_bytes);
+        report.throttled_per_s =
+            from_hundredths(fields.number("v", max_throttled));
+    }
     BOOST_OUTCOME_TRY(fields.finish());
     return report;
 }
--- a/src/gate/call_pressure.cpp
+++ b/src/gate/call_pressure.cpp
@@ -23,6 +23,12 @@
         congested_calls_ += settings_.delay_weight;
 }
 
+void call_pressure::count_throttled(double calls)
+{
+    calls_ += calls;
+    congested_calls_ += calls;
+}
+
 /// Returns by how much the level should rise after the current window.
 double call_pressure::rise() const
 {
--- a/src/gate/pressure_test.cpp
+++ b/src/gate/pressure_test.cpp
@@ -78,6 +78,19 @@
     CHECK(pressure.level() == 0);
 }
 
+// Guards against requests that keep being admitted at the entry because their
+// calls are refused by the senders and never reach the gate.
+TEST_CASE("calls that their senders refuse raise the level")
+{
+    fj::call_pressure pressure;
+    auto now = start;
+    for (int window = 0; window < 4; ++window) {
+        pressure.count_throttled(100);
+        refuse_calls(pressure, now, 1, 0);
+    }
+    CHECK(pressure.level() >= 0.4);
+}
+
 TEST_CASE("the level falls fast once most slots are free")
 {
     fj::call_pressure pressure;
--- a/src/mesh/fleet_reports.cpp
+++ b/src/mesh/fleet_reports.cpp
@@ -11,6 +11,13 @@
 
 namespace fulmarjunction {
 
+namespace {
+
+/// Maximum time between two updates over which reported rates still hold.
+constexpr milliseconds max_refresh_gap(2000);
+
+} // namespace
+
 fleet_reports::fleet_reports(
     boost::asio::any_io_executor executor, dependencies deps)
     : executor_(std::move(executor)), deps_(std::move(deps))
@@ -34,6 +41,9 @@
     report.load = load.load;
     report.run_cost = deps_.gate->costs().cost();
     report.pressure = deps_.gate->pressure().level();
+    const auto throttled = deps_.throttle->most_throttled(clock::now());
+    report.throttled_service = throttled.service;
+    report.throttled_per_s = throttled.refused_per_s;
     return report;
 }
 
@@ -73,6 +83,7 @@
 void fleet_reports::refresh()
 {
     refresh_costs();
+    count_throttled_calls();
     refresh_pressure();
 }
 
@@ -91,6 +102,28 @@
     return found == service_costs_.end() ? 1 : std::max(1.0, found->second);
 }
 
+/// Counts this gate's part of the calls that other nodes refuse to send to the
+/// service.
+void fleet_reports::count_throttled_calls()
+{
+    const auto now = clock::now();
+    const auto elapsed = now - std::exchange(throttled_until_, now);
+    double gates = 1;
+    double calls_per_s = 0;
+    for (const auto& [name, member] : deps_.fleet->members()) {
+        if (!member.is_reachable)
+            continue;
+        const auto& report = member.report;
+        gates += report.service == deps_.settings->service ? 1 : 0;
+        if (report.throttled_service == deps_.settings->service)
+            calls_per_s += report.throttled_per_s;
+    }
+    // After a pause the reports are out of date.
+    if (elapsed <= max_refresh_gap)
+        deps_.gate->pressure().count_throttled(
+            calls_per_s / gates * to_seconds(elapsed));
+}
+
 /// Combines the pressure levels of all gates, and announces the level of the
 /// local gate at once when it rises.
 void fleet_reports::refresh_pressure()
--- a/src/mesh/fleet_reports.hpp
+++ b/src/mesh/fleet_reports.hpp
@@ -8,6 +8,7 @@
 #include <fulmarjunction/mesh/backend_monitor.hpp>
 #include <fulmarjunction/mesh/gate_service.hpp>
 #include <fulmarjunction/mesh/mesh_settings.hpp>
+#include <fulmarjunction/retry/refusal_throttle.hpp>
 #include <fulmarjunction/retry/service_budget.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -32,6 +33,7 @@
         fleet_view* fleet = nullptr;
         placement* target_placement = nullptr;
         service_budget* budget = nullptr;
+        refusal_throttle* throttle = nullptr;
         root_shedding* shedding = nullptr;
         std::function<bool()> has_left;
         /// Sends the report of this node to all others at once.
@@ -63,6 +65,7 @@
 private:
     void set_targets();
     void refresh_costs();
+    void count_throttled_calls();
     void refresh_pressure();
 
     boost::asio::any_io_executor executor_;
@@ -70,6 +73,7 @@
     incarnation_number incarnation_ = 0;
     std::uint64_t sequence_ = 0;
     std::unordered_map<service_name, double> service_costs_;
+    time_point throttled_until_{};
     bool is_refresh_pending_ = false;
 };
 
--- a/src/mesh/forwarder.cpp
+++ b/src/mesh/forwarder.cpp
@@ -19,6 +19,10 @@
 /// Retry delay that a caller is given when no backend server is available.
 constexpr milliseconds no_backend_retry_after(500);
 
+/// Retry delay for a request that was not sent since its service refuses most
+/// of what it receives.
+constexpr milliseconds throttled_retry_after(1000);
+
 } // namespace
 
 /// State of one request across its attempts.
@@ -127,7 +131,8 @@
     if (!failure.not_run && outgoing.context.kind != execution::idempotent)
         return false;
     if (!failure.reached_backend)
-        return true;
+        return failure.reason != node_refusal::overloaded ||
+               deps_.throttle->may_try_another(outgoing.service, clock::now());
     // The calls of a retried run count as retries downstream as well. A request
     // that the backend server refused has made none.
     const auto cost = failure.not_run ? 1.0 : deps_.cost_of(outgoing.service);
@@ -217,6 +222,10 @@
     const attempt_outcome& outcome, duration latency)
 {
     const auto now = clock::now();
+    const bool was_refused = !outcome.backend_status &&
+                             outcome.failure.reason == node_refusal::overloaded;
+    if (outcome.backend_status || was_refused)
+        deps_.throttle->record(outgoing.service, was_refused, now);
     auto placed = to_placement_result(outcome.failure);
     if (outcome.backend_status) {
         placed = outcome.is_server_error() ? placement_result::failed
@@ -289,6 +298,14 @@
 awaitable<forward_result>
 forwarder::forward(outgoing_request outgoing, cancel_event canceled)
 {
+    const bool is_throttled = deps_.throttle->should_refuse(
+        outgoing.service, outgoing.context.is_call, clock::now());
+    if (is_throttled) {
+        const node_answer refusal{
+            node_refusal::overloaded, true, false, throttled_retry_after};
+        report_call_refusal(outgoing, refusal);
+        co_return forward_result(refusal);
+    }
     deps_.budget->count_first_attempt(outgoing.service, clock::now());
     progress so_far;
     for (;;) {
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -114,6 +114,7 @@
     reporting.has_left = [this] { return has_left_; };
     reporting.announce = [this] {
         if (link_)
+    reporting.throttle = &throttle_;
             link_->announce();
     };
     reports_ = std::make_unique<fleet_reports>(executor_, std::move(reporting));
@@ -281,6 +282,7 @@
     forwarding.peers = [this] { return peer_client_.get(); };
     forwarding.gate = gate_;
     forwarding.metrics = &metrics_;
+    forwarding.throttle = &throttle_;
     forwarding.cost_of = [this](const service_name& service) {
         return reports_->cost_of(service);
     };
--- a/src/mesh/mesh_node_impl.hpp
+++ b/src/mesh/mesh_node_impl.hpp
@@ -70,6 +70,7 @@
     fleet_view fleet_;
     placement placement_;
     service_budget budget_;
+    refusal_throttle throttle_;
     account_ledger ledger_;
     token_cache tokens_;
     split_chooser splits_;
