gate: use fewer slots while the node is short of processor time

Requests took many turns of a slow event loop, and most ended after their deadlines.

A timer of 20 ms probes this while a quarter of the slots is in use.

--- a/include/fulmarjunction/mesh/gate_service.hpp
+++ b/include/fulmarjunction/mesh/gate_service.hpp
@@ -60,6 +60,9 @@
     /// Applies the current slots and state of the backend server.
     void backend_changed();
 
+    /// Sets the share of the backend server's slots to use.
+    void set_slot_share(double share);
+
     /// Sends a health check to the backend server.
     /// @param path path of its health endpoint
     /// @return nothing when it does not answer, is unhealthy, or leaves out
@@ -121,6 +124,7 @@
     /// Whether any answer of the backend server has arrived since the node
     /// started. Before it, an earlier rate limit may still be in force.
     bool has_answered_ = false;
+    double slot_share_ = 1;
     suspect_turns turns_;
     std::shared_ptr<crash_detector> crashes_;
     call_pressure pressure_;
--- a/src/mesh/gate_service.cpp
+++ b/src/mesh/gate_service.cpp
@@ -399,10 +399,24 @@
     co_return answer;
 }
 
+void gate_service::set_slot_share(double share)
+{
+    slot_share_ = share;
+    update_slots();
+    advance();
+}
+
 void gate_service::update_slots()
 {
-    const auto slots = deps_.monitor->slots();
-    gate_.set_slots(has_answered_ ? slots : std::min(slots, unanswered_slots));
+    auto slots = deps_.monitor->slots();
+    if (!has_answered_)
+        slots = std::min(slots, unanswered_slots);
+    if (slots == 0) {
+        gate_.set_slots(0);
+        return;
+    }
+    const auto used = static_cast<double>(slots) * slot_share_;
+    gate_.set_slots(std::max<std::size_t>(1, static_cast<std::size_t>(used)));
 }
 
 /// Applies the rate limit that an answer of a backend server process names, or
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -37,6 +37,10 @@
 constexpr seconds unresponsive_retention(30);
 
 constexpr milliseconds tick_period(250);
+/// Period of a timer whose delay shows whether the node gets enough processor
+/// time. It runs only while the gate is busy.
+constexpr milliseconds delay_probe_period(20);
+constexpr double busy_gate_usage = 0.25;
 
 /// Delay before a request that was in flight at two crashes runs once more. A
 /// crashed backend server is back by then, so that the service does not lose
@@ -110,11 +114,11 @@
     reporting.fleet = &fleet_;
     reporting.target_placement = &placement_;
     reporting.budget = &budget_;
+    reporting.throttle = &throttle_;
     reporting.shedding = &shedding_;
     reporting.has_left = [this] { return has_left_; };
     reporting.announce = [this] {
         if (link_)
-    reporting.throttle = &throttle_;
             link_->announce();
     };
     reports_ = std::make_unique<fleet_reports>(executor_, std::move(reporting));
@@ -218,6 +222,7 @@
     subscriptions_.push_back(timers_.every(
         tick_period, [this, action = std::move(tick_action)](time_point) {
             reports_->refresh();
+            probe_processor();
             if (has_joined_ && !is_stopping_)
                 follower_->check_age();
             if (action)
@@ -277,12 +282,12 @@
     forwarding.fleet = &fleet_;
     forwarding.target_placement = &placement_;
     forwarding.budget = &budget_;
+    forwarding.throttle = &throttle_;
     forwarding.suspects = &suspects_;
     forwarding.format = &adapter_.format;
     forwarding.peers = [this] { return peer_client_.get(); };
     forwarding.gate = gate_;
     forwarding.metrics = &metrics_;
-    forwarding.throttle = &throttle_;
     forwarding.cost_of = [this](const service_name& service) {
         return reports_->cost_of(service);
     };
@@ -317,13 +322,44 @@
 {
     for (;;) {
         timers_.advance(clock::now());
-        wake_up_.expires_at(timers_.next_due().value_or(time_point::max()));
+        const auto due = timers_.next_due().value_or(time_point::max());
+        wake_up_.expires_at(due);
         boost::system::error_code ignored;
         co_await wake_up_.async_wait(
             asio::redirect_error(asio::use_awaitable, ignored));
+        const auto now = clock::now();
+        if (now >= due)
+            record_timer_delay(now - due, now);
     }
 }
 
+void mesh_node::impl::probe_processor()
+{
+    const auto limit = static_cast<double>(gate_->load().limit);
+    const bool is_busy =
+        static_cast<double>(gate_->running()) > limit * busy_gate_usage;
+    if (is_busy && !delay_probe_)
+        delay_probe_ = timers_.every(delay_probe_period, [](time_point) {});
+    else if (!is_busy)
+        delay_probe_.reset();
+}
+
+/// Adapts the slots in use to the processor time that the node gets.
+void mesh_node::impl::record_timer_delay(duration delay, time_point now)
+{
+    const bool was_limited = processor_.share() < 1;
+    if (!processor_.record_delay(delay, now))
+        return;
+    gate_->set_slot_share(processor_.share());
+    const bool is_limited = processor_.share() < 1;
+    if (is_limited == was_limited)
+        return;
+    log(log_level::info, is_limited ? "processor_short" : "processor_regained",
+        {{"delay_ms", to_milliseconds(delay)},
+         {"running", gate_->running()},
+         {"limit", gate_->load().limit}});
+}
+
 void mesh_node::impl::apply_limits(const connection_limits& limits)
 {
     http_limits next;
@@ -392,6 +428,9 @@
             {{"error", to_string(opened.error())}});
         std::exit(1);
     }
+    // Only now: reports go to all known nodes, and need the peer client.
+    for (const auto& row : entry.nodes)
+        fleet_.learn(row, clock::now());
     reports_->refresh_targets();
     link_->start();
     suspect_link_->start();
@@ -430,9 +469,6 @@
     }
     answer.headers = {{"content-type", "text/plain; version=0.0.4"}};
     answer.content_length = text.size();
-    // Only now: reports go to all known nodes, and need the peer client.
-    for (const auto& row : entry.nodes)
-        fleet_.learn(row, clock::now());
     answer.body = string_body(std::move(text));
     co_return answer;
 }
--- a/src/mesh/mesh_node_impl.hpp
+++ b/src/mesh/mesh_node_impl.hpp
@@ -8,6 +8,7 @@
 #include "suspect_link.hpp"
 
 #include <fulmarjunction/core/timer_service.hpp>
+#include <fulmarjunction/gate/processor_limit.hpp>
 #include <fulmarjunction/mesh/caller_entry.hpp>
 #include <fulmarjunction/mesh/config_copy.hpp>
 #include <fulmarjunction/mesh/fleet_link.hpp>
@@ -19,6 +20,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -47,6 +49,8 @@
     bool is_ready() const;
 
     awaitable<void> drive_timers();
+    void probe_processor();
+    void record_timer_delay(duration delay, time_point now);
     awaitable<void> join();
     void apply_limits(const connection_limits& limits);
     awaitable<void> read_config(cancel_event has_read);
@@ -71,6 +75,7 @@
     placement placement_;
     service_budget budget_;
     refusal_throttle throttle_;
+    processor_limit processor_;
     account_ledger ledger_;
     token_cache tokens_;
     split_chooser splits_;
@@ -92,6 +97,7 @@
     std::unique_ptr<http_server> heartbeat_server_;
     std::unique_ptr<http_server> metrics_server_;
     std::vector<timer_service::subscription> subscriptions_;
+    std::optional<timer_service::subscription> delay_probe_;
     time_point started_at_ = clock::now();
     bool has_joined_ = false;
     bool is_stopping_ = false;
