mesh: give throttled requests a refusal reason of their own

They are now named throttled in logs, metrics and explain.

The throttle counted each attempt, so that a service with one full instance among others with room had roots refused although the second attempt would have been accepted. It now counts how requests end.

--- a/include/fulmarjunction/mesh/call_context.hpp
+++ b/include/fulmarjunction/mesh/call_context.hpp
@@ -71,6 +71,9 @@
     other_backend,
     /// No slot is expected to be free in time.
     overloaded,
+    /// The service has refused most of the node's requests lately, so this one
+    /// was not sent.
+    throttled,
     /// A downstream service has no capacity for the calls of the request.
     overloaded_below,
     /// The backend server refused the request.
--- a/include/fulmarjunction/retry/refusal_throttle.hpp
+++ b/include/fulmarjunction/retry/refusal_throttle.hpp
@@ -22,11 +22,11 @@
     /// Maximum fraction that is refused without being sent, so that a service
     /// that has recovered is noticed.
     double max_refused_fraction = 0.8;
-    /// Fraction of refusals among the requests sent above which trying another
+    /// Fraction of refused requests among those sent above which trying another
     /// instance is not worth its cost.
     double max_retried_fraction = 0.5;
-    /// Decisions below which nothing is refused.
-    std::size_t min_decisions = 20;
+    /// Recorded requests below which nothing is refused.
+    std::size_t min_requests = 20;
 };
 
 /// Keeps refused requests from using up the processors of the nodes beside a
@@ -46,8 +46,9 @@
     bool
     should_refuse(const service_name& service, bool is_call, time_point now);
 
-    /// Records how an instance of the service decided on a request. Requests
-    /// that end without a decision, such as canceled ones, are not recorded.
+    /// Records whether the last instance that a request was sent to refused it.
+    /// Requests that end without a decision, such as canceled ones, are not
+    /// recorded.
     void record(const service_name& service, bool was_refused, time_point now);
 
     /// The service with the most requests refused by `should_refuse`.
--- a/src/explain/explain.cpp
+++ b/src/explain/explain.cpp
@@ -133,6 +133,9 @@
         return "because its account had used up its rate";
     case node_refusal::no_ledger:
         return "because the ledger of its account's rate did not answer";
+    case node_refusal::throttled:
+        return "because its service had just refused most of the requests of "
+               "this node, which sent none of the excess";
     case node_refusal::overloaded_below:
         return "because a downstream service has no free capacity";
     case node_refusal::no_backend:
--- a/src/mesh/call_context.cpp
+++ b/src/mesh/call_context.cpp
@@ -38,6 +38,7 @@
     {node_refusal::draining, "draining"},
     {node_refusal::other_backend, "other_backend"},
     {node_refusal::overloaded, "overloaded"},
+    {node_refusal::throttled, "throttled"},
     {node_refusal::overloaded_below, "overloaded_below"},
     {node_refusal::turned_away, "turned_away"},
     {node_refusal::too_late, "too_late"},
--- a/src/mesh/forwarder.cpp
+++ b/src/mesh/forwarder.cpp
@@ -145,7 +145,9 @@
 void forwarder::report_call_refusal(
     const outgoing_request& outgoing, const node_answer& failure)
 {
-    if (outgoing.context.is_call && failure.reason == node_refusal::overloaded)
+    const bool lacks_capacity = failure.reason == node_refusal::overloaded ||
+                                failure.reason == node_refusal::throttled;
+    if (outgoing.context.is_call && lacks_capacity)
         deps_.call_refused(outgoing.context, outgoing.service);
 }
 
@@ -222,10 +224,6 @@
     const attempt_outcome& outcome, duration latency)
 {
     const auto now = clock::now();
-    const bool was_refused = !outcome.backend_status &&
-                             outcome.failure.reason == node_refusal::overloaded;
-    if (outcome.backend_status || was_refused)
-        deps_.throttle->record(outgoing.service, was_refused, now);
     auto placed = to_placement_result(outcome.failure);
     if (outcome.backend_status) {
         placed = outcome.is_server_error() ? placement_result::failed
@@ -302,7 +300,7 @@
         outgoing.service, outgoing.context.is_call, clock::now());
     if (is_throttled) {
         const node_answer refusal{
-            node_refusal::overloaded, true, false, throttled_retry_after};
+            node_refusal::throttled, true, false, throttled_retry_after};
         report_call_refusal(outgoing, refusal);
         co_return forward_result(refusal);
     }
@@ -310,8 +308,14 @@
     progress so_far;
     for (;;) {
         auto done = co_await try_once(outgoing, so_far, canceled);
-        if (done)
-            co_return std::move(*done);
+        if (!done)
+            continue;
+        const auto* refusal = std::get_if<node_answer>(&*done);
+        const bool was_refused =
+            refusal != nullptr && refusal->reason == node_refusal::overloaded;
+        if (refusal == nullptr || was_refused)
+            deps_.throttle->record(outgoing.service, was_refused, clock::now());
+        co_return std::move(*done);
     }
 }
 
--- a/src/retry/refusal_throttle.cpp
+++ b/src/retry/refusal_throttle.cpp
@@ -37,7 +37,7 @@
 {
     const auto recent = sum(service, now);
     const auto decided = recent.accepted + recent.refused + recent.throttled;
-    if (decided < static_cast<double>(settings_.min_decisions))
+    if (decided < static_cast<double>(settings_.min_requests))
         return false;
     const auto ratio = is_call ? settings_.call_ratio : settings_.root_ratio;
     const auto excess = 1 - ratio * recent.accepted / decided;
@@ -78,7 +78,7 @@
 {
     const auto recent = sum(service, now);
     const auto sent = recent.accepted + recent.refused;
-    return sent < static_cast<double>(settings_.min_decisions) ||
+    return sent < static_cast<double>(settings_.min_requests) ||
            recent.refused <= sent * settings_.max_retried_fraction;
 }
 
