--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -12,15 +12,17 @@
 /// A heartbeat may arrive seconds late; this one is 1.1 s late.
 constexpr double heartbeat_delay_ms = 1100;
 /// A backend server may serve on for many seconds after its leave.
-constexpr double serves_on_ms = 9000;
+constexpr double serves_on_ms = 6000;
+/// Mean work of the kind of request `dispatch-confirm`.
+constexpr double work_ms = 210;
 
 std::string make_config()
 {
     return R"({"Version":"r7","Routes":[
-{"Name":"look","Host":"look.example","Prefix":"/look/","Kind":"idempotent",
-"TimeoutMs":1000,"GoalMs":1500,"Priority":2,"Service":"calendar","Attempts":2,
-"Public":true}],
-"Services":[{"Name":"calendar","HealthPath":"/healthz","MaxConns":532,
+{"Name":"confirm","Host":"look.example","Prefix":"/confirm/",
+"Kind":"non_idempotent","TimeoutMs":1200,"GoalMs":1500,"Priority":0,
+"Service":"dispatch","Attempts":2,"Public":true}],
+"Services":[{"Name":"dispatch","HealthPath":"/healthz","MaxConns":532,
 "Proto":"h1","Tls":false},{"Name":"guides","HealthPath":"/healthz",
 "MaxConns":424,"Proto":"h1","Tls":false}],
 "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":67108864,
@@ -31,12 +33,14 @@
 {
     row_store store;
     store.put("op", "config", make_config());
-    machine one("sidecar-anand-1", "anand", "calendar", store.at());
-    machine two("sidecar-vadodara-1", "vadodara", "calendar", store.at());
+    machine one("sidecar-anand-1", "anand", "dispatch", store.at());
+    machine two("sidecar-vadodara-1", "vadodara", "dispatch", store.at());
     machine entry("sidecar-surat-1", "surat", "guides", store.at());
     endpoint server_one(one, 72);
     endpoint server_two(two, 72);
     endpoint server_entry(entry, 54);
+    server_one.work = [](const message&) { return work_ms; };
+    server_two.work = [](const message&) { return work_ms; };
     one.start();
     two.start();
     entry.start();
@@ -50,16 +54,16 @@
     std::vector<std::thread> callers;
     std::mutex mutex;
     std::vector<outcome> seen;
-    for (int i = 0; i < 4; ++i) {
+    for (int i = 0; i < 8; ++i) {
         callers.emplace_back([&, i] {
             caller client(entry.outbound(), "look.example");
             for (int number = 0; !is_over; ++number) {
-                sleep_ms(100);
+                sleep_ms(50);
                 if (!client.connect())
                     continue;
                 const auto answered = client.send(
-                    "GET", "/look/x",
-                    "look-" + std::to_string(i) + "-" + std::to_string(number),
+                    "POST", "/confirm/x",
+                    "confirm-" + std::to_string(i) + "-" + std::to_string(number),
                     "", 5000, 5000);
                 const std::lock_guard lock(mutex);
                 seen.push_back(answered);
@@ -88,7 +92,10 @@
     if (!is_acknowledged)
         give_up("the leave was not acknowledged");
     heartbeat.join();
+    // The backend server ends. It had asked for no more work.
     sleep_ms(left_at + serves_on_ms - now_ms());
+    server_one.end();
+    sleep_ms(1500);
     is_over = true;
     for (auto& each : callers)
         each.join();
@@ -110,14 +117,18 @@
     std::size_t answered = 0;
     for (const auto& request : seen)
         answered += request.status == 200 ? 1 : 0;
+    std::size_t cut = 0;
+    for (const auto& run : server_one.runs())
+        cut += run.is_answered ? 0 : 1;
     if (late > 0) {
         std::printf(
             "DRAIN: %d requests reached %s later than %.0f ms after its leave "
-            "was acknowledged, the last %.0f ms after it\n",
-            late, server_one.id().c_str(), drain_ms, last - left_at);
+            "was acknowledged, the last %.0f ms after it; %zu ended with it\n",
+            late, server_one.id().c_str(), drain_ms, last - left_at, cut);
     }
     std::printf(
-        "%zu requests, %zu answered, %d reached the server that had left\n",
+        "%zu requests, %zu answered with success, %d reached the server that "
+        "had left\n",
         seen.size(), answered, late);
     if (answered < 50)
         give_up("too few requests were answered");
--- a/review/support/harness.hpp
+++ b/review/support/harness.hpp
@@ -518,7 +518,7 @@
 class tcp_server
 {
 public:
-    using session = std::function<void(tcp_socket)>;
+    using session = std::function<void(const tcp_socket&)>;
 
     tcp_server(address at, session serve)
         : address_(std::move(at)), serve_(std::move(serve)),
@@ -538,23 +538,55 @@
 
     const address& at() const { return address_; }
 
+    /// Ends the server: nothing listens any more, and open connections end.
+    void end()
+    {
+        has_ended_ = true;
+        shutdown(listener_.fd(), SHUT_RDWR);
+        const std::lock_guard lock(mutex_);
+        for (const int fd : open_)
+            shutdown(fd, SHUT_RDWR);
+    }
+
 private:
     void accept_all()
     {
         for (;;) {
             const int fd =
                 accept4(listener_.fd(), nullptr, nullptr, SOCK_CLOEXEC);
+            if (has_ended_) {
+                if (fd >= 0)
+                    ::close(fd);
+                return;
+            }
             if (fd < 0)
                 continue;
+            {
+                const std::lock_guard lock(mutex_);
+                open_.insert(fd);
+            }
             const int on = 1;
             setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-            std::thread([this, fd] { serve_(tcp_socket(fd)); }).detach();
+            std::thread([this, fd] { serve_connection(fd); }).detach();
         }
     }
 
+    void serve_connection(int fd)
+    {
+        tcp_socket connection(fd);
+        serve_(connection);
+        // The number of the descriptor may be used again from here on.
+        const std::lock_guard lock(mutex_);
+        open_.erase(fd);
+        connection.reset();
+    }
+
     address address_;
     session serve_;
     tcp_socket listener_;
+    std::atomic<bool> has_ended_{false};
+    std::mutex mutex_;
+    std::set<int> open_;
 };
 
 /// One exchange on a connection of its own.
@@ -610,9 +642,7 @@
     std::function<std::optional<double>(const std::string&)> late_write;
 
     row_store()
-        : server_({ip_, free_port(ip_)}, [this](tcp_socket socket) {
-              serve(std::move(socket));
-          })
+        : server_({ip_, free_port(ip_)}, [this](const tcp_socket& socket) { serve(socket); })
     {
     }
 
@@ -784,7 +814,7 @@
         return answer(200, {});
     }
 
-    void serve(tcp_socket socket)
+    void serve(const tcp_socket& socket)
     {
         http_reader reader(socket);
         for (;;) {
@@ -1065,9 +1095,7 @@
           born_(std::chrono::duration_cast<milliseconds>(
                     std::chrono::system_clock::now().time_since_epoch())
                     .count()),
-          server_(beside.upstream(), [this](tcp_socket socket) {
-              serve(std::move(socket));
-          })
+          server_(beside.upstream(), [this](const tcp_socket& socket) { serve(socket); })
     {
         std::thread([this] { beat(); }).detach();
     }
@@ -1118,6 +1146,14 @@
         return answer && answer->status() == 200;
     }
 
+    /// Ends this backend server, with what it is at work on.
+    void end()
+    {
+        note("server " + id_ + ": ends");
+        announces_ = false;
+        server_.end();
+    }
+
     std::vector<run> runs()
     {
         const std::lock_guard lock(mutex_);
@@ -1139,7 +1175,7 @@
         return std::to_string(running_.load()) + ",0," + std::to_string(slots_);
     }
 
-    void serve(tcp_socket socket)
+    void serve(const tcp_socket& socket)
     {
         http_reader reader(socket);
         for (;;) {
