--- a/review/1/case.cpp
+++ b/review/1/case.cc
@@ -1,7 +1,7 @@
 /// @file
 /// QUOTA: a lost answer of the store leaves two nodes that each keep the whole
 /// rate of every tenant.
-#include "../support/harness.hpp"
+#include "../support/harness.hh"
 
 using namespace review;
 
@@ -37,8 +37,7 @@
     for (int i = 0; i < tenants; ++i) {
         text += i == 0 ? "" : ",";
         text += "{\"Name\":\"" + name_of(i) + "\",\"ApiKeys\":[\"key-of-" +
-                name_of(i) +
-                "\"],\"Priority\":1,\"RatePerS\":30,\"Burst\":30}";
+                name_of(i) + "\"],\"Priority\":1,\"RatePerS\":30,\"Burst\":30}";
     }
     return text + "]}";
 }
@@ -120,9 +119,8 @@
     for (const auto* target : {&one, &two, &added}) {
         for (int tenant = 0; tenant < tenants; ++tenant) {
             for (int i = 0; i < callers_per_tenant; ++i) {
-                callers.emplace_back([=] {
-                    send_traffic(*target, tenant, i, until);
-                });
+                callers.emplace_back(
+                    [=] { send_traffic(*target, tenant, i, until); });
             }
         }
     }
@@ -150,8 +148,9 @@
             "ran in %.0f s\n",
             is_over ? "QUOTA" : "held", most, name_of(tenant).c_str(),
             quota_window_ms / 1000, allowed, ran.size(), traffic_ms / 1000);
-        note("verdict: " + name_of(tenant) + " " + std::to_string(most) +
-             " in one window, allowed " + std::to_string(allowed));
+        note(
+            "verdict: " + name_of(tenant) + " " + std::to_string(most) +
+            " in one window, allowed " + std::to_string(allowed));
     }
     end_case(is_broken ? rule_broken : rule_held);
 }
--- a/review/2/case.cpp
+++ b/review/2/case.cc
@@ -1,7 +1,7 @@
 /// @file
 /// LOST: a node that stops takes requests until it ends, and ends while a
 /// backend server is at work on one of them.
-#include "../support/harness.hpp"
+#include "../support/harness.hh"
 
 using namespace review;
 
@@ -71,8 +71,7 @@
 
     const auto stop_at = now_ms() + 500;
     std::vector<outcome> seen;
-    std::thread kept(
-        [&] { keep_sending(soil, stop_at + counted_ms, seen); });
+    std::thread kept([&] { keep_sending(soil, stop_at + counted_ms, seen); });
     // A caller of the other machine sends the long request while the stopping
     // node still takes some.
     std::thread other([&] {
@@ -95,8 +94,8 @@
     std::size_t complete = 0;
     for (const auto& request : seen) {
         complete += request.end == read_end::complete ? 1 : 0;
-        const bool is_cut = request.end == read_end::ended ||
-                            request.end == read_end::reset;
+        const bool is_cut =
+            request.end == read_end::ended || request.end == read_end::reset;
         const bool is_counted =
             request.sent_ms > stop_at + excused_sent_ms &&
             request.ended_ms <= stop_at + counted_ms &&
--- a/review/3/case.cpp
+++ b/review/3/case.cc
@@ -1,7 +1,7 @@
 /// @file
 /// CONFIG: an answer whose body has no end is passed on beyond the time limit
 /// of its route.
-#include "../support/harness.hpp"
+#include "../support/harness.hh"
 
 using namespace review;
 
@@ -33,10 +33,9 @@
 bool send_without_end(
     const tcp_socket& socket, const message&, endpoint::run& current)
 {
-    const std::string head =
-        "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + current.id +
-        "\r\nX-Response-Seal: seal-" + current.id +
-        "\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + current.id +
+                             "\r\nX-Response-Seal: seal-" + current.id +
+                             "\r\nTransfer-Encoding: chunked\r\n\r\n";
     const std::string piece(1000, 'x');
     if (!has_trouble()) {
         for (int i = 0; i < 30; ++i) {
@@ -114,8 +113,8 @@
     note("verdict: " + std::to_string(unanswered) + " without final answer");
     if (longer < 8)
         give_up("too few requests lasted to TimeoutMs");
-    const bool is_broken = unanswered > allowed_unanswered &&
-                           unanswered > longer * allowed_share;
+    const bool is_broken =
+        unanswered > allowed_unanswered && unanswered > longer * allowed_share;
     end_case(is_broken ? rule_broken : rule_held);
 }
 
--- a/review/4/case.cpp
+++ b/review/4/case.cc
@@ -1,7 +1,7 @@
 /// @file
 /// DRAIN: a node that has acknowledged that a backend server leaves takes it up
 /// again at a late heartbeat.
-#include "../support/harness.hpp"
+#include "../support/harness.hh"
 
 using namespace review;
 
@@ -63,7 +63,8 @@
                     continue;
                 const auto answered = client.send(
                     "POST", "/confirm/x",
-                    "confirm-" + std::to_string(i) + "-" + std::to_string(number),
+                    "confirm-" + std::to_string(i) + "-" +
+                        std::to_string(number),
                     "", 5000, 5000);
                 const std::lock_guard lock(mutex);
                 seen.push_back(answered);
@@ -110,9 +111,10 @@
             continue;
         ++late;
         last = std::max(last, run.started_ms);
-        note("verdict: " + run.id + " reached " + server_one.id() + " " +
-             std::to_string(run.started_ms - left_at) +
-             " ms after its leave was acknowledged");
+        note(
+            "verdict: " + run.id + " reached " + server_one.id() + " " +
+            std::to_string(run.started_ms - left_at) +
+            " ms after its leave was acknowledged");
     }
     std::size_t answered = 0;
     for (const auto& request : seen)
