--- a/review/support/harness.hh
+++ b/review/support/harness.hh
@@ -1077,7 +1077,7 @@
 class endpoint
 {
 public:
-    /// What a request does; returns the answer's body.
+    /// What is known of a request that has run.
     struct run
     {
         std::string id;
