mesh: a stopping node takes no request that could outlast it

Cause: the phase in which a stopping node takes requests and the phase in which it waits for those in flight had the same deadline (0.87 of the stop limit). The first lasted for as long as a request of another node ran at the node's own backend server, so the second had no time.

Change: from half of the stop limit on, a request is taken only if its deadline lies before the node's last answer; others are refused as not run (`stopping`). The node closes its callers' address 0.2 s before its end and waits until the connections are closed.

--- a/include/fulmarjunction/http/http.hpp
+++ b/include/fulmarjunction/http/http.hpp
@@ -80,6 +80,10 @@
     /// Sets the limits for later requests, also on open connections.
     void set_limits(const http_limits& limits);
 
+    /// Answers with `Connection: close` from now on, but keeps accepting
+    /// requests and connections.
+    void begin_drain();
+
     /// Stops accepting, closes idle connections, and answers requests in
     /// flight with `Connection: close`.
     void begin_shutdown();
--- a/include/fulmarjunction/mesh/call_context.hpp
+++ b/include/fulmarjunction/mesh/call_context.hpp
@@ -67,6 +67,8 @@
     no_backend,
     /// The backend server beside the node is draining or absent.
     draining,
+    /// The node stops, and could end before the request.
+    stopping,
     /// Another process of the backend server runs beside the node.
     other_backend,
     /// No slot is expected to be free in time.
--- a/include/fulmarjunction/mesh/caller_entry.hpp
+++ b/include/fulmarjunction/mesh/caller_entry.hpp
@@ -48,6 +48,10 @@
     /// Handles one request and returns the answer for the caller.
     awaitable<streamed_response> handle(http_request request);
 
+    /// Refuses later requests whose deadline is after `end`, since the node
+    /// may end before they do.
+    void begin_stop(time_point end) { stops_at_ = end; }
+
     /// Returns the answer to input that is not a valid HTTP request.
     streamed_response refuse_malformed(int status);
 
@@ -77,6 +81,8 @@
 
     boost::asio::any_io_executor executor_;
     dependencies deps_;
+    /// Time until which accepted requests must have ended.
+    time_point stops_at_ = time_point::max();
 };
 
 /// Returns the HTTP status that a caller receives for a node's own answer.
--- a/src/explain/explain.cpp
+++ b/src/explain/explain.cpp
@@ -143,6 +143,9 @@
     case node_refusal::other_backend:
         return "because no backend server of the service was left to try: " +
                describe_attempts(lines);
+    case node_refusal::stopping:
+        return "because the node was about to stop and could have ended before "
+               "the request";
     case node_refusal::overloaded:
         return "because no backend server that was tried had a free slot in "
                "time: " +
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -96,6 +96,7 @@
 
     result<tcp::endpoint> listen(const tcp::endpoint& address);
     void set_limits(const http_limits& limits) { limits_ = limits; }
+    void begin_drain() { draining_ = true; }
     void begin_shutdown();
     void close();
     std::size_t requests_in_flight() const { return in_flight_; }
@@ -179,6 +180,8 @@
     std::shared_ptr<asio::ssl::context> tls_;
     std::set<session_ptr> sessions_;
     std::size_t in_flight_ = 0;
+    /// Whether connections close after their last answer.
+    bool draining_ = false;
     bool stopping_ = false;
 };
 
@@ -475,7 +478,7 @@
         framing = body_framing::until_close;
     // A pipelined request after this one may already have been dispatched, so
     // only the last answer of a shutdown closes the connection.
-    const bool is_last = stopping_ && current.exchanges.size() <= 1;
+    const bool is_last = draining_ && current.exchanges.size() <= 1;
     keep_alive = keep_alive && !is_last && framing != body_framing::until_close;
     auto text = detail::format_response_head(response, framing, keep_alive);
     if (!text) {
@@ -507,6 +510,7 @@
 
 void http_server::impl::begin_shutdown()
 {
+    begin_drain();
     stopping_ = true;
     boost::system::error_code ignored;
     acceptor_.close(ignored);
@@ -542,6 +546,11 @@
     return impl_->listen(address);
 }
 
+void http_server::begin_drain()
+{
+    impl_->begin_drain();
+}
+
 void http_server::begin_shutdown()
 {
     impl_->begin_shutdown();
--- a/src/mesh/call_context.cpp
+++ b/src/mesh/call_context.cpp
@@ -36,6 +36,7 @@
     {node_refusal::no_ledger, "no_ledger"},
     {node_refusal::no_backend, "no_backend"},
     {node_refusal::draining, "draining"},
+    {node_refusal::stopping, "stopping"},
     {node_refusal::other_backend, "other_backend"},
     {node_refusal::overloaded, "overloaded"},
     {node_refusal::throttled, "throttled"},
--- a/src/mesh/caller_entry.cpp
+++ b/src/mesh/caller_entry.cpp
@@ -24,6 +24,7 @@
 constexpr milliseconds unconfirmed_retry_after(1000);
 constexpr milliseconds no_ledger_retry_after(300);
 constexpr milliseconds min_rate_retry_after(200);
+constexpr milliseconds stopping_retry_after(500);
 
 /// Retry delay for a request that was shed because a downstream service is
 /// overloaded. The delay gives the nodes time to observe the effect of the
@@ -224,6 +225,8 @@
         matched_route.timeout, claims.time_limit.value_or(milliseconds::max()));
     const auto arrived_at = clock::now();
     const auto deadline = arrived_at + limit;
+    if (deadline > stops_at_)
+        co_return make_refusal(node_refusal::stopping, stopping_retry_after);
     // A node that is short of processor time reads requests late.
     if (incoming.has_caller_left())
         co_return make_refusal(node_refusal::canceled);
--- a/src/mesh/mesh_node_stop.cpp
+++ b/src/mesh/mesh_node_stop.cpp
@@ -24,8 +24,14 @@
 /// its slots are missing until it is back. The last requests have the rest of
 /// the limit.
 constexpr double serve_peers_fraction = 0.35;
+/// Fraction of the stop limit after which the node takes only requests whose
+/// deadline lies before its last answer. Those before have the rest of the
+/// limit, which is more than nearly all requests need.
+constexpr double last_start_fraction = 0.5;
 /// Fraction of the stop limit after which the node stops waiting for requests.
 constexpr double finish_fraction = 0.87;
+/// Time to pass on the last answers and to close the connections.
+constexpr milliseconds closing_time(200);
 
 } // namespace
 
@@ -59,21 +65,34 @@
 {
     const auto started_at = clock::now();
     const auto limit_s = to_seconds(settings_.stop_limit);
+    const auto last_start_at =
+        started_at + from_seconds(limit_s * last_start_fraction);
     const auto finish_deadline =
         started_at + from_seconds(limit_s * finish_fraction);
+    const auto last_answer_at = finish_deadline - closing_time;
     co_await wait_until(
         executor_,
         [this] { return monitor_.state(clock::now()) != backend_state::ready; },
         started_at + from_seconds(limit_s * serve_peers_fraction));
     leave_fleet();
-    // Callers keep arriving until the platform has noticed. The node must also
-    // forward the calls of requests that still run at its backend server.
+    // Callers keep arriving until the platform has noticed.
     co_await wait_until(executor_, nullptr, started_at + readiness_lag);
-    co_await wait_until(
-        executor_, [this] { return gate_->running() == 0; }, finish_deadline);
+    callers_->begin_drain();
+    // The node must still forward the calls of requests that run at its backend
+    // server.
+    const auto is_gate_idle = [this] { return gate_->running() == 0; };
+    co_await wait_until(executor_, is_gate_idle, last_start_at);
+    if (is_gate_idle())
+        callers_->begin_shutdown();
+    // Connections close when their callers have read the last answers.
+    const auto is_finished = [this] {
+        return is_idle() && callers_->connections() == 0;
+    };
+    co_await wait_until(executor_, is_finished, last_start_at);
+    entry_->begin_stop(last_answer_at);
+    co_await wait_until(executor_, is_gate_idle, last_answer_at);
     callers_->begin_shutdown();
-    co_await wait_until(
-        executor_, [this] { return is_idle(); }, finish_deadline);
+    co_await wait_until(executor_, is_finished, finish_deadline);
     log(log_level::info, "stopped",
         {{"seconds", to_seconds(clock::now() - started_at)},
          {"unfinished", callers_->requests_in_flight()}});
--- a/src/mesh/mesh_test_fleet.hpp
+++ b/src/mesh/mesh_test_fleet.hpp
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -295,6 +296,7 @@
     {
         ++runs;
         const auto& fields = request.message.headers;
+        run_ids.insert(field(fields, "id"));
         last_headers = fields;
         const bool is_crashing =
             request.message.target.find("crash") != std::string::npos;
@@ -341,6 +343,8 @@
     std::unique_ptr<fj::mesh_node> process;
     std::uint64_t heartbeats = 0;
     int runs = 0;
+    /// Ids of the requests that the backend server has received.
+    std::set<std::string> run_ids;
     int status = 200;
     milliseconds service_time{};
     fj::header_fields last_headers;
