mesh: the body of an answer or a request has the deadline of its request

Cause: the deadline of a request ended with the head of its answer. The body of a request was buffered without a deadline too.

Change: http_client and peer_client take a deadline for the body, and their readers keep it however many bytes arrive. A request whose body is not read in time is refused, not run. `answer_cut` is logged.

--- a/include/fulmarjunction/http/http.hpp
+++ b/include/fulmarjunction/http/http.hpp
@@ -126,10 +126,14 @@
     ///         head cannot be sent, `errc::connection_broken`,
     ///         `errc::malformed` or `errc::timeout` when the request may have
     ///         been processed, or the error of the request's body
+    /// @param deadline for the head of the answer
     /// @param filter tells which answers belong to the request; may be empty
+    /// @param body_deadline for the last byte of the answer's body: reads fail
+    ///        with `errc::timeout` from then on
     awaitable<result<streamed_response>> send(
         streamed_request request, time_point deadline,
-        answer_filter filter = nullptr);
+        answer_filter filter = nullptr,
+        time_point body_deadline = time_point::max());
 
     /// Closes the idle connections.
     void close();
--- a/include/fulmarjunction/mesh/caller_entry.hpp
+++ b/include/fulmarjunction/mesh/caller_entry.hpp
@@ -73,8 +73,12 @@
     charge(account_plan plan, time_point deadline);
     awaitable<forward_result>
     serve(admitted request, http_request incoming, caller_claims claims);
-    awaitable<result<request_body>>
-    read_request_body(streamed_request& message, std::size_t limit);
+    awaitable<result<request_body>> read_request_body(
+        streamed_request& message, std::size_t limit, time_point deadline);
+    static node_answer make_body_refusal(const error& problem);
+    static void log_cut_answer(
+        streamed_response& answer, std::string request_id,
+        cancel_event canceled);
     streamed_response refuse(
         const node_answer& refusal, const std::string& request_id,
         const std::string& route_name);
--- a/include/fulmarjunction/peer/control.hpp
+++ b/include/fulmarjunction/peer/control.hpp
@@ -16,6 +16,7 @@
 /// @param to the receiver; without a name, any authenticated peer is accepted
 /// @param name the kind of message, which becomes part of the request's path
 /// @param text the JSON body
+/// @param deadline for the whole answer
 awaitable<result<std::string>> send_control(
     peer_client& peers, peer_address to, std::string name, std::string text,
     time_point deadline);
--- a/include/fulmarjunction/peer/peer.hpp
+++ b/include/fulmarjunction/peer/peer.hpp
@@ -134,6 +134,9 @@
     /// the stream.
     /// @param expected name that the peer must authenticate as; empty accepts
     ///        any name
+    /// @param deadline for the head of the response
+    /// @param body_deadline for the last byte of the response's body: reads
+    ///        fail with `errc::timeout` from then on
     /// @return `errc::connection_failed` when no byte of the request was
     ///         processed by the peer (no connection, a refused stream, or
     ///         GOAWAY with a last stream id below it, or a deadline that passed
@@ -144,7 +147,8 @@
     ///         or the error of the request's body
     awaitable<result<streamed_response>> send(
         boost::asio::ip::tcp::endpoint address, instance_name expected,
-        streamed_request request, time_point deadline);
+        streamed_request request, time_point deadline,
+        time_point body_deadline = time_point::max());
 
     /// Sends GOAWAY on the connection to an address and closes it after its
     /// last stream; the next request opens a new one.
--- a/include/fulmarjunction/serving/body.hpp
+++ b/include/fulmarjunction/serving/body.hpp
@@ -53,6 +53,12 @@
     body_reader body, std::optional<std::uint64_t> length,
     body_end_hook at_end);
 
+/// Called with the error of each read that fails.
+using body_error_hook = std::function<void(const error& problem)>;
+
+/// Returns a reader that reports failed reads.
+body_reader with_error_hook(body_reader body, body_error_hook on_error);
+
 /// Returns a reader that fails with `errc::timeout` when a read takes longer
 /// than `limit`. Only progress is limited, not the total time of a long answer.
 body_reader with_idle_limit(
--- a/include/fulmarjunction/serving/cancel_event.hpp
+++ b/include/fulmarjunction/serving/cancel_event.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <fulmarjunction/core/message.hpp>
+#include <fulmarjunction/core/time.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
@@ -72,4 +73,23 @@
     co_return fail(errc::canceled, step);
 }
 
+/// Runs `work` and cancels it at `deadline`.
+/// @return the result of `work`, or `errc::timeout`
+template <class T>
+awaitable<result<T>> run_with_deadline(
+    awaitable<result<T>> work, boost::asio::any_io_executor executor,
+    time_point deadline, std::string step)
+{
+    const cancel_event expired(executor);
+    boost::asio::steady_timer timer(executor, deadline);
+    timer.async_wait([expired](const boost::system::error_code& failure) {
+        if (!failure)
+            expired.cancel();
+    });
+    auto done = co_await run_cancelable(std::move(work), expired, step);
+    if (!done && expired.is_canceled())
+        co_return fail(errc::timeout, step);
+    co_return done;
+}
+
 } // namespace fulmarjunction
--- a/src/ctl/fulmarctl_main.cpp
+++ b/src/ctl/fulmarctl_main.cpp
@@ -237,7 +237,8 @@
     request.content_length = 0;
     request.body = fj::empty_body();
     const auto deadline = fj::clock::now() + timeout;
-    auto answer = co_await client.send(std::move(request), deadline);
+    auto answer = co_await client.send(
+        std::move(request), deadline, nullptr, deadline + timeout);
     if (!answer)
         co_return answer.error();
     const auto body =
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -100,7 +100,7 @@
 
     static awaitable<result<streamed_response>> send(
         std::shared_ptr<impl> self, streamed_request request,
-        time_point deadline, answer_filter filter);
+        time_point deadline, answer_filter filter, time_point body_deadline);
     void close();
     const tcp::endpoint& address() const { return address_; }
 
@@ -142,9 +142,10 @@
         exchange& current, bool is_head, time_point deadline,
         const answer_filter& filter);
     awaitable<bool> skip_body(exchange& current, time_point deadline);
-    streamed_response make_response(const exchange_ptr& current) const;
+    streamed_response
+    make_response(const exchange_ptr& current, time_point deadline) const;
     static awaitable<result<std::size_t>> read_response_body(
-        exchange_ptr current, milliseconds idle_timeout,
+        exchange_ptr current, milliseconds idle_timeout, time_point deadline,
         asio::mutable_buffer output);
 
     asio::any_io_executor executor_;
@@ -312,14 +313,9 @@
 {
     std::array<char, 1024> ignored{};
     while (!current.reader->is_done()) {
-        // The body may have no end.
-        const auto left =
-            std::chrono::duration_cast<milliseconds>(deadline - clock::now());
-        if (left <= milliseconds::zero())
-            co_return false;
         const auto received = co_await message_reader::read_body(
-            current.reader, std::min(limits_.idle_timeout, left),
-            asio::buffer(ignored));
+            current.reader, limits_.idle_timeout, asio::buffer(ignored),
+            deadline);
         if (!received)
             co_return false;
     }
@@ -371,8 +367,9 @@
     }
 }
 
-streamed_response
-http_client::impl::make_response(const exchange_ptr& current) const
+/// @param deadline for the last byte of the body
+streamed_response http_client::impl::make_response(
+    const exchange_ptr& current, time_point deadline) const
 {
     auto& head = current->reader->head();
     streamed_response response;
@@ -386,8 +383,9 @@
             std::min<milliseconds>(current->idle_time, *head.keep_alive_time);
     }
     const auto idle_timeout = limits_.idle_timeout;
-    response.body = [current, idle_timeout](asio::mutable_buffer output) {
-        return read_response_body(current, idle_timeout, output);
+    response.body = [current, idle_timeout,
+                     deadline](asio::mutable_buffer output) {
+        return read_response_body(current, idle_timeout, deadline, output);
     };
     if (current->reader->is_done())
         current->release_connection();
@@ -395,11 +393,11 @@
 }
 
 awaitable<result<std::size_t>> http_client::impl::read_response_body(
-    exchange_ptr current, milliseconds idle_timeout,
+    exchange_ptr current, milliseconds idle_timeout, time_point deadline,
     asio::mutable_buffer output)
 {
     auto received = co_await message_reader::read_body(
-        current->reader, idle_timeout, output);
+        current->reader, idle_timeout, output, deadline);
     if (!received && current->conn)
         current->conn->close();
     if (received && current->reader->is_done())
@@ -409,7 +407,7 @@
 
 awaitable<result<streamed_response>> http_client::impl::send(
     std::shared_ptr<impl> self, streamed_request request, time_point deadline,
-    answer_filter filter)
+    answer_filter filter, time_point body_deadline)
 {
     const auto framing = request_framing(request);
     auto head = detail::format_request_head(request, self->name_, framing);
@@ -432,7 +430,7 @@
         *current, request.method == "HEAD", deadline, filter);
     if (!outcome)
         co_return outcome.error();
-    co_return self->make_response(current);
+    co_return self->make_response(current, body_deadline);
 }
 
 void http_client::impl::close()
@@ -456,9 +454,11 @@
 }
 
 awaitable<result<streamed_response>> http_client::send(
-    streamed_request request, time_point deadline, answer_filter filter)
+    streamed_request request, time_point deadline, answer_filter filter,
+    time_point body_deadline)
 {
-    return impl::send(impl_, std::move(request), deadline, std::move(filter));
+    return impl::send(
+        impl_, std::move(request), deadline, std::move(filter), body_deadline);
 }
 
 void http_client::close()
--- a/src/http/endless_answer_test.cpp
+++ b/src/http/endless_answer_test.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 
-/// Server that answers each request with `start` and then repeats `piece` until
-/// its connection is closed.
+/// Server that answers each request with `start` and then repeats `piece`, if
+/// there is one, until its connection is closed.
 struct endless_server
 {
     endless_server(std::string first_bytes, std::string repeated_bytes)
@@ -42,11 +42,16 @@
         co_await asio::async_write(
             socket, asio::buffer(start),
             asio::redirect_error(use_awaitable, failure));
-        while (!failure) {
+        while (!failure && !piece.empty()) {
             sent += co_await asio::async_write(
                 socket, asio::buffer(piece),
                 asio::redirect_error(use_awaitable, failure));
         }
+        while (!failure) {
+            co_await socket.async_read_some(
+                asio::buffer(request),
+                asio::redirect_error(use_awaitable, failure));
+        }
         has_ended = true;
     }
 
@@ -76,6 +81,24 @@
     return fj::clock::now() - started_at;
 }
 
+/// Reads the body of an answer until a read fails, which must not take longer
+/// than the deadline of the body.
+fj::error read_until_failure(const endless_server& server)
+{
+    fj::http_limits limits;
+    limits.idle_timeout = hang_limit;
+    fj::http_client client(io().get_executor(), server.address, limits);
+    const auto deadline = fj::clock::now() + time_limit;
+    const auto answer = run(client.send(get("/"), deadline, nullptr, deadline));
+    REQUIRE(answer);
+    std::array<char, 4096> bytes{};
+    for (;;) {
+        const auto received = run(answer.value().body(asio::buffer(bytes)));
+        if (!received)
+            return received.error();
+    }
+}
+
 /// Covers the time that a busy machine needs to close a connection.
 constexpr fj::milliseconds slack(5000);
 
@@ -112,3 +135,25 @@
         "4\r\nabcd\r\n");
     CHECK(time_to_failure(server) < time_limit + slack);
 }
+
+// Guards against a caller that is held for as long as the body of its answer
+// goes on.
+TEST_CASE("a body without end does not outlast its deadline")
+{
+    endless_server server(
+        "HTTP/1.1 200 OK\r\nid: own\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "4\r\nabcd\r\n");
+    const auto failure = read_until_failure(server);
+    CHECK(failure.code == fj::errc::timeout);
+    run_until([&] { return server.has_ended; });
+}
+
+// Guards against a caller that is held until the idle limit by a body that
+// stops.
+TEST_CASE("a body that stops does not outlast its deadline")
+{
+    endless_server server(
+        "HTTP/1.1 200 OK\r\nid: own\r\nContent-Length: 9\r\n\r\nabcd", "");
+    const auto failure = read_until_failure(server);
+    CHECK(failure.code == fj::errc::timeout);
+}
--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -1,5 +1,6 @@
 #include <http/message_reader.hpp>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -64,12 +65,15 @@
 
 awaitable<result<std::size_t>> message_reader::read_body(
     std::shared_ptr<message_reader> self, milliseconds idle_timeout,
-    boost::asio::mutable_buffer output)
+    boost::asio::mutable_buffer output, time_point deadline)
 {
     if (output.size() == 0)
         co_return fail(errc::invalid_argument, "read body", {}, "no buffer");
-    const auto until = clock::now() + idle_timeout;
+    const auto until =
+        std::min<time_point>(deadline, clock::now() + idle_timeout);
     for (;;) {
+        if (clock::now() >= deadline && !self->is_done())
+            co_return fail(errc::timeout, "read body", {}, "deadline");
         bool needs_input = false;
         auto received = self->read_available(output, needs_input);
         if (!needs_input)
--- a/src/http/message_reader.hpp
+++ b/src/http/message_reader.hpp
@@ -39,9 +39,12 @@
     message_head& head() { return head_; }
 
     /// Reads body bytes; `self` keeps the reader alive meanwhile.
+    /// @param deadline the body must have ended by then, whether or not bytes
+    ///        keep arriving
     static awaitable<result<std::size_t>> read_body(
         std::shared_ptr<message_reader> self, milliseconds idle_timeout,
-        boost::asio::mutable_buffer output);
+        boost::asio::mutable_buffer output,
+        time_point deadline = time_point::max());
 
     /// Whether the message was read to its end.
     bool is_done() const { return parser_.is_done(); }
--- a/src/mesh/caller_entry.cpp
+++ b/src/mesh/caller_entry.cpp
@@ -207,14 +207,25 @@
         shed_retry_after + milliseconds(jitter));
 }
 
-awaitable<result<request_body>>
-caller_entry::read_request_body(streamed_request& message, std::size_t limit)
+awaitable<result<request_body>> caller_entry::read_request_body(
+    streamed_request& message, std::size_t limit, time_point deadline)
 {
     if (message.content_length && *message.content_length > limit)
         co_return fail(errc::too_large, "read request");
     if (message.content_length == std::uint64_t{0})
         co_return request_body{};
-    co_return co_await buffer_request_body(std::move(message.body));
+    co_return co_await run_with_deadline(
+        buffer_request_body(std::move(message.body)), executor_, deadline,
+        "read request");
+}
+
+node_answer caller_entry::make_body_refusal(const error& problem)
+{
+    if (problem.code == errc::too_large)
+        return make_refusal(node_refusal::body_too_large);
+    if (problem.code == errc::timeout)
+        return make_refusal(node_refusal::too_late);
+    return make_refusal(node_refusal::bad_request);
 }
 
 awaitable<forward_result> caller_entry::serve(
@@ -240,14 +251,12 @@
             co_return *refused;
     }
     auto body = co_await read_request_body(
-        incoming.message, request.config->limits().max_body_bytes);
-    if (!body) {
-        co_return make_refusal(
-            body.error().code == errc::too_large ? node_refusal::body_too_large
-                                                 : node_refusal::bad_request);
-    }
+        incoming.message, request.config->limits().max_body_bytes, deadline);
+    if (!body)
+        co_return make_body_refusal(body.error());
     outgoing_request outgoing;
-    outgoing.context.request_id = std::move(claims.request_id);
+    const auto request_id = std::move(claims.request_id);
+    outgoing.context.request_id = request_id;
     outgoing.context.route_name = matched_route.name;
     outgoing.context.kind = matched_route.kind;
     outgoing.context.is_call = request.plan == nullptr;
@@ -272,8 +281,27 @@
     const auto host = find_header(outgoing.headers, "host").value_or("");
     outgoing.context.print = fingerprint_of(
         {}, std::string(host), outgoing.target, outgoing.body.prefix);
-    co_return co_await deps_.request_forwarder->forward(
+    auto served = co_await deps_.request_forwarder->forward(
         std::move(outgoing), canceled);
+    if (auto* answer = std::get_if<streamed_response>(&served))
+        log_cut_answer(*answer, request_id, canceled);
+    co_return std::move(served);
+}
+
+/// Logs when the body of an answer can't be passed on to its end. Its head has
+/// been logged as the answer.
+void caller_entry::log_cut_answer(
+    streamed_response& answer, std::string request_id, cancel_event canceled)
+{
+    if (answer.content_length == std::uint64_t{0})
+        return;
+    answer.body = with_error_hook(
+        std::move(answer.body),
+        [id = std::move(request_id), canceled](const error& problem) {
+            if (!canceled.is_canceled())
+                log(log_level::info, "answer_cut",
+                    {{"request", id}, {"error", to_string(problem)}});
+        });
 }
 
 awaitable<streamed_response> caller_entry::handle(http_request request)
--- a/src/mesh/forwarder.cpp
+++ b/src/mesh/forwarder.cpp
@@ -93,7 +93,7 @@
     auto answer = co_await run_cancelable(
         deps_.peers()->send(
             member->address, chosen.node, std::move(request),
-            outgoing.context.deadline),
+            outgoing.context.deadline, outgoing.context.deadline),
         canceled, "forward");
     if (!answer && answer.error().code != errc::canceled)
         deps_.call_failed(chosen.node, answer.error());
--- a/src/mesh/gate_service.cpp
+++ b/src/mesh/gate_service.cpp
@@ -160,8 +160,9 @@
     request.headers = {{"host", "health"}};
     request.content_length = 0;
     request.body = empty_body();
-    auto answer = co_await client_.send(
-        std::move(request), clock::now() + health_timeout);
+    const auto deadline = clock::now() + health_timeout;
+    auto answer =
+        co_await client_.send(std::move(request), deadline, nullptr, deadline);
     if (!answer) {
         log(log_level::info, "health_not_answered",
             {{"error", to_string(answer.error())}});
@@ -511,8 +512,9 @@
         };
     held->mark_sent();
     auto answer = co_await run_cancelable(
-        client_.send(std::move(request), context.deadline, belongs), canceled,
-        "backend.send");
+        client_.send(
+            std::move(request), context.deadline, belongs, context.deadline),
+        canceled, "backend.send");
     if (!answer) {
         const auto failure = co_await handle_send_error(answer.error());
         co_return refuse(context, failure, to_string(answer.error()));
--- a/src/mesh/mesh_test_fleet.hpp
+++ b/src/mesh/mesh_test_fleet.hpp
@@ -292,6 +292,19 @@
         CHECK(hooks.heartbeat(heartbeat) == fj::heartbeat_verdict::accepted);
     }
 
+    /// Returns a body of which one byte arrives every 10 ms, without end.
+    fj::body_reader endless_body()
+    {
+        return [this](asio::mutable_buffer buffer)
+                   -> fj::awaitable<fj::result<std::size_t>> {
+            ++endless_reads;
+            asio::steady_timer timer(io(), milliseconds(10));
+            co_await timer.async_wait(use_awaitable);
+            *static_cast<char*>(buffer.data()) = 'x';
+            co_return std::size_t{1};
+        };
+    }
+
     fj::awaitable<fj::streamed_response> serve(fj::http_request request)
     {
         ++runs;
@@ -309,6 +322,10 @@
         else if (resets_connections)
             reset_connections();
         auto answer = text_response(status, name);
+        if (has_endless_answers) {
+            answer.content_length.reset();
+            answer.body = endless_body();
+        }
         answer.headers.push_back({"run", backend_id()});
         answer.headers.push_back({"id", field(fields, "id")});
         answer.headers.push_back({"fj-o", "overloaded;1;0;-1"});
@@ -334,6 +351,9 @@
     milliseconds restart_delay{300};
     int crashes = 0;
     bool resets_connections = false;
+    bool has_endless_answers = false;
+    /// Reads of bodies without end.
+    int endless_reads = 0;
     /// Requests per second that the backend server names in its answers.
     std::optional<double> named_limit;
     /// Whether the backend server says in its answers that it leaves.
--- a/src/peer/client.cpp
+++ b/src/peer/client.cpp
@@ -44,14 +44,16 @@
 };
 using guard_ptr = std::shared_ptr<stream_guard>;
 
-awaitable<result<std::size_t>>
-read_response_body(guard_ptr guard, asio::mutable_buffer output)
+awaitable<result<std::size_t>> read_response_body(
+    guard_ptr guard, asio::mutable_buffer output, time_point deadline)
 {
     co_return co_await peer_session::read_body(
-        guard->session, guard->stream, output);
+        guard->session, guard->stream, output, deadline);
 }
 
-streamed_response make_response(const guard_ptr& guard)
+/// @param body_deadline for the last byte of the body
+streamed_response
+make_response(const guard_ptr& guard, time_point body_deadline)
 {
     auto& source = *guard->stream;
     streamed_response response;
@@ -61,8 +63,8 @@
     if (!response.content_length && source.input_ended && source.input.empty())
         response.content_length = 0;
     response.headers = std::move(source.headers);
-    response.body = [guard](asio::mutable_buffer output) {
-        return read_response_body(guard, output);
+    response.body = [guard, body_deadline](asio::mutable_buffer output) {
+        return read_response_body(guard, output, body_deadline);
     };
     return response;
 }
@@ -86,8 +88,9 @@
 }
 
 /// Sends a request on an open session and waits for the response's head.
-awaitable<result<streamed_response>>
-exchange(session_ptr session, streamed_request request, time_point deadline)
+awaitable<result<streamed_response>> exchange(
+    session_ptr session, streamed_request request, time_point deadline,
+    time_point body_deadline)
 {
     const bool has_body =
         request.body && request.content_length != std::uint64_t{0};
@@ -103,7 +106,7 @@
         co_await peer_session::wait_for_head(session, guard->stream, deadline);
     if (!head)
         co_return head.error();
-    co_return make_response(guard);
+    co_return make_response(guard, body_deadline);
 }
 
 } // namespace
@@ -121,7 +124,8 @@
 
     static awaitable<result<streamed_response>> send(
         std::shared_ptr<impl> self, tcp::endpoint address,
-        instance_name expected, streamed_request request, time_point deadline);
+        instance_name expected, streamed_request request, time_point deadline,
+        time_point body_deadline);
     void close_gracefully(const tcp::endpoint& address);
     void drop(const tcp::endpoint& address);
     void close_unused(duration unused_for);
@@ -309,7 +313,7 @@
 
 awaitable<result<streamed_response>> peer_client::impl::send(
     std::shared_ptr<impl> self, tcp::endpoint address, instance_name expected,
-    streamed_request request, time_point deadline)
+    streamed_request request, time_point deadline, time_point body_deadline)
 {
     auto failure = self->check_can_send(to_text(address), deadline);
     if (failure)
@@ -320,7 +324,8 @@
     failure = check_session(*found.value(), expected);
     if (failure)
         co_return *failure;
-    co_return co_await exchange(found.value(), std::move(request), deadline);
+    co_return co_await exchange(
+        found.value(), std::move(request), deadline, body_deadline);
 }
 
 void peer_client::impl::close_gracefully(const tcp::endpoint& address)
@@ -380,11 +385,11 @@
 
 awaitable<result<streamed_response>> peer_client::send(
     tcp::endpoint address, instance_name expected, streamed_request request,
-    time_point deadline)
+    time_point deadline, time_point body_deadline)
 {
     return impl::send(
         impl_, std::move(address), std::move(expected), std::move(request),
-        deadline);
+        deadline, body_deadline);
 }
 
 void peer_client::close_gracefully(const tcp::endpoint& address)
--- a/src/peer/control.cpp
+++ b/src/peer/control.cpp
@@ -15,8 +15,8 @@
         {"host", "control"}, {"content-type", "application/json"}};
     request.content_length = text.size();
     request.body = string_body(std::move(text));
-    auto answer =
-        co_await peers.send(to.address, to.name, std::move(request), deadline);
+    auto answer = co_await peers.send(
+        to.address, to.name, std::move(request), deadline, deadline);
     if (!answer)
         co_return answer.error();
     auto body =
--- a/src/peer/session.cpp
+++ b/src/peer/session.cpp
@@ -820,13 +820,17 @@
 
 awaitable<result<std::size_t>> peer_session::read_body(
     std::shared_ptr<peer_session> self, stream_ptr source,
-    asio::mutable_buffer output)
+    asio::mutable_buffer output, time_point deadline)
 {
     if (output.size() == 0)
         co_return fail(errc::invalid_argument, "peer.body", {}, "no buffer");
-    const auto deadline = clock::now() + self->limits_.idle_timeout;
+    const auto until = std::min<time_point>(
+        deadline, clock::now() + self->limits_.idle_timeout);
     for (;;) {
         const auto remaining = source->input.size() - source->input_start;
+        const bool is_complete = source->input_ended && remaining == 0;
+        if (clock::now() >= deadline && !is_complete)
+            co_return fail(errc::timeout, "peer.body", self->peer_name_);
         if (remaining > 0) {
             const auto size = std::min(remaining, output.size());
             std::memcpy(
@@ -850,9 +854,9 @@
             co_return *source->failure;
         if (source->closed)
             co_return fail(errc::truncated, "peer.body", self->peer_name_);
-        if (clock::now() >= deadline)
+        if (clock::now() >= until)
             co_return fail(errc::timeout, "peer.body", self->peer_name_);
-        co_await source->changed.wait(deadline);
+        co_await source->changed.wait(until);
     }
 }
 
--- a/src/peer/session.hpp
+++ b/src/peer/session.hpp
@@ -113,9 +113,12 @@
         time_point deadline);
 
     /// Reads body bytes and extends the peer's flow control window by as much.
+    /// @param deadline the body must have ended by then, whether or not bytes
+    ///        keep arriving
     static awaitable<result<std::size_t>> read_body(
         std::shared_ptr<peer_session> self, stream_ptr source,
-        boost::asio::mutable_buffer output);
+        boost::asio::mutable_buffer output,
+        time_point deadline = time_point::max());
 
     /// Resets a stream that the caller no longer needs.
     void cancel(const stream_ptr& target);
--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -82,7 +82,8 @@
     const auto step = call.step;
     auto request = make_request(*state, std::move(call));
     const auto deadline = clock::now() + state->timeout;
-    auto head = co_await state->client.send(std::move(request), deadline);
+    auto head = co_await state->client.send(
+        std::move(request), deadline, nullptr, deadline + state->timeout);
     if (!head) {
         auto failure = head.error();
         co_return fail(failure.code, step, state->address, to_string(failure));
--- a/src/serving/body.cpp
+++ b/src/serving/body.cpp
@@ -39,14 +39,9 @@
     std::shared_ptr<body_reader> body, asio::any_io_executor executor,
     duration limit, std::string peer, asio::mutable_buffer buffer)
 {
-    const cancel_event expired(executor);
-    asio::steady_timer timer(executor, limit);
-    timer.async_wait([expired](const boost::system::error_code& problem) {
-        if (!problem)
-            expired.cancel();
-    });
-    auto size = co_await run_cancelable((*body)(buffer), expired, "read body");
-    if (!size && expired.is_canceled())
+    auto size = co_await run_with_deadline(
+        (*body)(buffer), executor, clock::now() + limit, "read body");
+    if (!size && size.error().code == errc::timeout)
         co_return fail(errc::timeout, "read body", peer, "no progress");
     co_return size;
 }
@@ -202,6 +197,16 @@
     body_end_hook at_end_;
 };
 
+awaitable<result<std::size_t>> read_watched(
+    std::shared_ptr<body_reader> body, body_error_hook on_error,
+    asio::mutable_buffer buffer)
+{
+    auto size = co_await (*body)(buffer);
+    if (!size)
+        on_error(size.error());
+    co_return size;
+}
+
 } // namespace
 
 body_reader guard_secret(body_reader body, std::string secret)
@@ -225,6 +230,15 @@
     };
 }
 
+body_reader with_error_hook(body_reader body, body_error_hook on_error)
+{
+    auto shared = std::make_shared<body_reader>(std::move(body));
+    return
+        [shared, on_error = std::move(on_error)](asio::mutable_buffer buffer) {
+            return read_watched(shared, on_error, buffer);
+        };
+}
+
 body_reader with_idle_limit(
     body_reader body, const asio::any_io_executor& executor, duration limit,
     std::string peer)
