mesh: a late heartbeat does not bring back a backend server that has left

Cause: after a restart the node knows its backend server from a health check, without its start. The leave set a flag of that process; a heartbeat with a start that arrived later counted as another process and cleared it. A leave before the first heartbeat, or of a process that was not the last one known, was forgotten.

Change: the monitor remembers the last processes that have left, by id and start, and ignores their heartbeats and health answers in whatever order they arrive. The first heartbeat no longer undoes an answer that says that its server leaves.

The test with the old code: mesh_test.cpp:205: FAILED: CHECK( monitor.receive(make_heartbeat("a", 10, 7), start + seconds(1)) == fj::heartbeat_verdict::outdated )

--- a/include/fulmarjunction/mesh/backend_monitor.hpp
+++ b/include/fulmarjunction/mesh/backend_monitor.hpp
@@ -8,6 +8,7 @@
 #include <fulmarjunction/mesh/wire_format.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <optional>
 #include <string>
@@ -64,7 +65,10 @@
         service_name service, std::string address, duration heartbeat_timeout);
 
     heartbeat_verdict receive(const backend_heartbeat& beat, time_point now);
-    void receive(const backend_leave& leave);
+
+    /// Processes a leave, also of a process that is not known yet: its
+    /// heartbeats may arrive later than its leave.
+    void receive(const backend_leave& leave, time_point now);
 
     /// Processes the answer to a health check. It only counts until the first
     /// heartbeat, since it does not contain the start of the process, and a
@@ -99,13 +103,29 @@
     std::function<void()> on_change;
 
 private:
+    /// A process that has announced its leave.
+    struct departed_process
+    {
+        std::string id;
+        /// Start of the process, if known.
+        std::optional<std::int64_t> start_time_ms;
+        time_point left_at;
+    };
+
     bool is_newer(const backend_heartbeat& beat) const;
+    bool is_other_process(const backend_heartbeat& beat) const;
+    bool has_departed(
+        const std::string& id, std::int64_t start_time_ms,
+        time_point now) const;
+    void record_departed(const backend_leave& leave, time_point now);
 
     service_name service_;
     std::string address_;
     duration heartbeat_timeout_;
     backend_heartbeat last_;
     std::optional<time_point> received_at_;
+    /// The last processes that have left, the newest at the end.
+    std::deque<departed_process> departed_;
     bool has_left_ = false;
     bool says_leaving_ = false;
     bool is_unreachable_ = false;
--- a/src/mesh/backend_monitor.cpp
+++ b/src/mesh/backend_monitor.cpp
@@ -1,6 +1,7 @@
 #include <fulmarjunction/core/enum_table.hpp>
 #include <fulmarjunction/mesh/backend_monitor.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace fulmarjunction {
@@ -13,6 +14,13 @@
     {heartbeat_verdict::foreign, "foreign"},
 });
 
+/// Start of a process that is known only from a health check.
+constexpr std::int64_t unknown_start = 0;
+
+/// Processes that leave follow each other by seconds, and a heartbeat is late
+/// by seconds, so that few are of interest at a time.
+constexpr std::size_t max_departed = 16;
+
 } // namespace
 
 std::string_view to_string(heartbeat_verdict value)
@@ -39,38 +47,73 @@
     return beat.sequence > last_.sequence;
 }
 
+bool backend_monitor::is_other_process(const backend_heartbeat& beat) const
+{
+    if (beat.id != last_.id)
+        return true;
+    // Between a health check and the first heartbeat a process can only have
+    // been replaced by one with the same id if its connections were refused.
+    if (last_.start_time_ms == unknown_start)
+        return is_unreachable_;
+    return beat.start_time_ms != last_.start_time_ms;
+}
+
+/// Returns whether a process has announced its leave. A later process may have
+/// the same id.
+bool backend_monitor::has_departed(
+    const std::string& id, std::int64_t start_time_ms, time_point now) const
+{
+    return std::any_of(
+        departed_.begin(), departed_.end(), [&](const departed_process& gone) {
+            if (gone.id != id)
+                return false;
+            if (gone.start_time_ms)
+                return start_time_ms <= *gone.start_time_ms;
+            return now - gone.left_at < heartbeat_timeout_;
+        });
+}
+
+void backend_monitor::record_departed(
+    const backend_leave& leave, time_point now)
+{
+    auto start_time_ms = leave.start_time_ms;
+    if (!start_time_ms && leave.id == last_.id &&
+        last_.start_time_ms != unknown_start)
+        start_time_ms = last_.start_time_ms;
+    departed_.push_back({leave.id, start_time_ms, now});
+    if (departed_.size() > max_departed)
+        departed_.pop_front();
+}
+
 heartbeat_verdict
 backend_monitor::receive(const backend_heartbeat& beat, time_point now)
 {
     if (beat.service != service_ || beat.address != address_)
         return heartbeat_verdict::foreign;
-    if (!is_newer(beat))
-        return heartbeat_verdict::outdated;
-    const bool is_other_process =
-        beat.id != last_.id || beat.start_time_ms != last_.start_time_ms;
-    // A process may still send heartbeats after it has announced its leave.
-    if (!is_other_process && has_left_)
+    // A process may still send heartbeats after it has announced its leave, and
+    // earlier ones may arrive after it.
+    if (!is_newer(beat) || has_departed(beat.id, beat.start_time_ms, now))
         return heartbeat_verdict::outdated;
-    const bool differs =
-        is_other_process || state(now) == backend_state::absent ||
-        beat.is_draining != last_.is_draining || beat.slots != last_.slots;
+    const bool is_other = is_other_process(beat);
+    const bool differs = is_other || state(now) == backend_state::absent ||
+                         beat.is_draining != last_.is_draining ||
+                         beat.slots != last_.slots;
     last_ = beat;
     received_at_ = now;
     has_left_ = false;
-    says_leaving_ = says_leaving_ && !is_other_process;
+    says_leaving_ = says_leaving_ && !is_other;
     is_unreachable_ = false;
     if (differs && on_change)
         on_change();
     return heartbeat_verdict::accepted;
 }
 
-void backend_monitor::receive(const backend_leave& leave)
+void backend_monitor::receive(const backend_leave& leave, time_point now)
 {
+    record_departed(leave, now);
     if (!received_at_ || leave.id != last_.id)
         return;
-    // An answer to a health check does not contain the start of the process.
-    const bool is_start_known = last_.start_time_ms != 0;
-    if (is_start_known && leave.start_time_ms &&
+    if (last_.start_time_ms != unknown_start && leave.start_time_ms &&
         *leave.start_time_ms != last_.start_time_ms)
         return;
     if (std::exchange(has_left_, true))
@@ -81,7 +124,7 @@
 
 void backend_monitor::receive(const backend_health& health, time_point now)
 {
-    if (received_at_)
+    if (received_at_ || has_departed(health.id, unknown_start, now))
         return;
     last_.id = health.id;
     last_.service = service_;
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -196,7 +196,9 @@
             {[this](const backend_heartbeat& beat) {
                  return monitor_.receive(beat, clock::now());
              },
-             [this](const backend_leave& leave) { monitor_.receive(leave); }}),
+             [this](const backend_leave& leave) {
+                 monitor_.receive(leave, clock::now());
+             }}),
         refuse);
     create_components();
     metrics_server_ = std::make_unique<http_server>(
--- a/src/mesh/mesh_test.cpp
+++ b/src/mesh/mesh_test.cpp
@@ -145,9 +145,9 @@
 {
     auto monitor = make_monitor();
     monitor.receive(make_heartbeat("a", 10, 1), start);
-    monitor.receive(fj::backend_leave{"a", 5});
+    monitor.receive(fj::backend_leave{"a", 5}, start);
     CHECK(monitor.state(start) == fj::backend_state::ready);
-    monitor.receive(fj::backend_leave{"a", 10});
+    monitor.receive(fj::backend_leave{"a", 10}, start);
     CHECK(monitor.state(start) == fj::backend_state::absent);
     monitor.receive(make_heartbeat("a", 10, 2), start);
     CHECK(monitor.state(start) == fj::backend_state::absent);
@@ -189,12 +189,84 @@
 {
     auto monitor = make_monitor();
     monitor.receive(fj::backend_health{"a", 8}, start);
-    monitor.receive(fj::backend_leave{"b", 10});
+    monitor.receive(fj::backend_leave{"b", 10}, start);
     CHECK(monitor.state(start) == fj::backend_state::ready);
-    monitor.receive(fj::backend_leave{"a", 10});
+    monitor.receive(fj::backend_leave{"a", 10}, start);
     CHECK(monitor.state(start) == fj::backend_state::absent);
 }
 
+// Guards against a heartbeat that was sent before the leave and arrives after
+// it, when only a health answer is known: it has a start, the answer has none.
+TEST_CASE("a late heartbeat does not bring back a process known by its health")
+{
+    auto monitor = make_monitor();
+    monitor.receive(fj::backend_health{"a", 8}, start);
+    monitor.receive(fj::backend_leave{"a", 10}, start);
+    CHECK(
+        monitor.receive(make_heartbeat("a", 10, 7), start + seconds(1)) ==
+        fj::heartbeat_verdict::outdated);
+    CHECK(monitor.state(start + seconds(1)) == fj::backend_state::absent);
+    // A later process may have the same id.
+    CHECK(
+        monitor.receive(make_heartbeat("a", 11, 1), start + seconds(1)) ==
+        fj::heartbeat_verdict::accepted);
+    CHECK(monitor.state(start + seconds(1)) == fj::backend_state::ready);
+}
+
+// Guards against a leave that is acknowledged and forgotten, since nothing is
+// known of its process yet.
+TEST_CASE("a leave counts before anything is known of its process")
+{
+    auto monitor = make_monitor();
+    monitor.receive(fj::backend_leave{"a", 10}, start);
+    monitor.receive(fj::backend_health{"a", 8}, start);
+    CHECK(monitor.state(start) == fj::backend_state::absent);
+    CHECK(
+        monitor.receive(make_heartbeat("a", 10, 7), start) ==
+        fj::heartbeat_verdict::outdated);
+    CHECK(monitor.state(start) == fj::backend_state::absent);
+}
+
+// Guards against a process that is taken up although it left while its
+// predecessor was the last one known.
+TEST_CASE("a leave counts although an earlier process is the last one known")
+{
+    auto monitor = make_monitor();
+    monitor.receive(make_heartbeat("a", 10, 7), start);
+    monitor.receive(fj::backend_leave{"b", 20}, start);
+    CHECK(monitor.state(start) == fj::backend_state::ready);
+    CHECK(
+        monitor.receive(make_heartbeat("b", 20, 1), start) ==
+        fj::heartbeat_verdict::outdated);
+}
+
+// Guards against a leave without a start that a late heartbeat with one
+// overrides, and against a process that is never accepted after it.
+TEST_CASE(
+    "a leave without a start holds for as long as a heartbeat may be late")
+{
+    auto monitor = make_monitor();
+    monitor.receive(fj::backend_health{"a", 8}, start);
+    monitor.receive(fj::backend_leave{"a", std::nullopt}, start);
+    CHECK(
+        monitor.receive(make_heartbeat("a", 10, 7), start + seconds(5)) ==
+        fj::heartbeat_verdict::outdated);
+    CHECK(
+        monitor.receive(make_heartbeat("a", 20, 1), start + seconds(6)) ==
+        fj::heartbeat_verdict::accepted);
+}
+
+// Guards against a server that says in its answers that it leaves, and is taken
+// up again at its first heartbeat after a restart of its node.
+TEST_CASE("a first heartbeat does not undo what an answer says of its process")
+{
+    auto monitor = make_monitor();
+    monitor.receive(fj::backend_health{"a", 8}, start);
+    monitor.record_leaving("a");
+    monitor.receive(make_heartbeat("a", 10, 7), start);
+    CHECK(monitor.state(start) == fj::backend_state::draining);
+}
+
 // Guards against store readers that query the store in step, so that all of
 // their answers are equally old when it fails.
 TEST_CASE("store readers query the store with different wait times")
