mesh: late changes of a node's row have no effect on a later incarnation

Cause: a node that stops removed its row without a condition. The store did it 4 s late, when the node had been started again, so nodes that started afterwards never met that one, and both kept the ledger of the account. The late write of a row had the like effect: it was newer than all reports of the living node.

Change: each change of a row names the version that it replaces. Nodes read the rows again from time to time (`row_check_ms`), restore their own if it is gone, and find nodes that a long partition made them forget. Reports of an incarnation that has announced its leave are ignored, and a node that has left asks the ledgers that the others use.

--- a/include/fulmarjunction/fleet/fleet_view.hpp
+++ b/include/fulmarjunction/fleet/fleet_view.hpp
@@ -103,7 +103,12 @@
     /// Adds a node that was found in a row of the store.
     void learn(const node_report& row, time_point now);
 
-    /// Processes a report that a node sent about itself.
+    /// Adds a node that a later read of the rows has found, unless it is known.
+    /// Its row may have outlived it, so it counts as ended until it reports.
+    void recall(const node_report& row, time_point now);
+
+    /// Processes a report that a node sent about itself. Reports of an
+    /// incarnation that has left are ignored, however late they arrive.
     /// @return whether its backend server, incarnation or reachability changed
     bool receive(const node_report& report, time_point now);
 
@@ -111,11 +116,17 @@
         const instance_name& node, peer_failure failure, time_point now);
 
     /// Removes a node that has announced its leave.
-    void remove(const instance_name& node, incarnation_number incarnation);
+    void remove(
+        const instance_name& node, incarnation_number incarnation,
+        time_point now);
 
     /// Removes nodes that have been unreachable for `forget_after`.
     void expire(time_point now);
 
+    /// Excludes this node from keeping ledgers, as the others do once they know
+    /// that it leaves.
+    void begin_leave() { is_leaving_ = true; }
+
     const instance_name& self() const { return self_; }
     const fleet_member* find(const instance_name& node) const;
     const std::map<instance_name, fleet_member>& members() const
@@ -147,11 +158,21 @@
     std::function<void(const node_report&)> on_report;
 
 private:
+    /// The last incarnation of a node that has announced its leave.
+    struct departed_node
+    {
+        incarnation_number incarnation = 0;
+        time_point left_at{};
+    };
+
     void notify_changed() const;
+    bool has_departed(const node_report& report) const;
 
     instance_name self_;
     duration forget_after_;
+    bool is_leaving_ = false;
     std::map<instance_name, fleet_member> members_;
+    std::map<instance_name, departed_node> departed_;
 };
 
 } // namespace fulmarjunction
--- a/include/fulmarjunction/mesh/mesh_settings.hpp
+++ b/include/fulmarjunction/mesh/mesh_settings.hpp
@@ -46,6 +46,9 @@
     double retry_ratio = 0.2;
     double retry_slack = 50;
     milliseconds retry_window{10'000};
+    /// Time between two reads of the rows of all nodes, at least; longer in
+    /// large fleets.
+    milliseconds row_check_period{30'000};
     /// Maximum log lines per second of each event; 0 means no limit.
     unsigned log_lines = 50;
 
--- a/include/fulmarjunction/store/fleet_store.hpp
+++ b/include/fulmarjunction/store/fleet_store.hpp
@@ -63,12 +63,24 @@
     virtual awaitable<result<std::string>> create_secret() = 0;
 
     /// Writes the row of this node, replacing that of an earlier incarnation.
-    /// @return the incarnation that begins with the row. It comes from the
-    ///         store's count of changes, so the incarnations of a node increase
-    ///         regardless of its clock.
+    /// Like the other writes it names the version of the row that it replaces,
+    /// so that it has no effect when it is done late.
+    /// @return the incarnation that begins with the row, which is also the
+    ///         version of the row. It comes from the store's count of changes,
+    ///         so the incarnations of a node increase regardless of its clock.
     virtual awaitable<result<incarnation_number>>
     put_node(const node_report& self) = 0;
-    virtual awaitable<result<void>> remove_node(const node_report& row) = 0;
+
+    /// Writes the row of this node unless there is one. The incarnation of the
+    /// node stays the same.
+    /// @return the version of the row that was written, or nothing if there was
+    ///         one
+    virtual awaitable<result<std::optional<store_position>>>
+    restore_node(const node_report& self) = 0;
+
+    /// Removes the row of a node if it still has this version.
+    virtual awaitable<result<void>>
+    remove_node(const instance_name& node, store_position version) = 0;
 };
 
 } // namespace fulmarjunction
--- a/src/fleet/fleet_test.cpp
+++ b/src/fleet/fleet_test.cpp
@@ -113,6 +113,63 @@
     }
 }
 
+// Guards against a report that was on its way when its node left: the node
+// would be in use again until calls to it fail.
+TEST_CASE("a late report does not bring back a node that has left")
+{
+    fj::fleet_view fleet("self", seconds(30));
+    fleet.receive(report_of("a", 2, 5), start);
+    fleet.remove("a", 2, start);
+    CHECK_FALSE(fleet.receive(report_of("a", 2, 6), start));
+    fleet.learn(report_of("a", 2, 0), start);
+    CHECK(fleet.find("a") == nullptr);
+    CHECK(fleet.receive(report_of("a", 3, 1), start));
+    CHECK(fleet.find("a") != nullptr);
+}
+
+// Guards against two groups of nodes that never meet again after a partition
+// that lasted longer than they remember each other.
+TEST_CASE("a forgotten node is found again in its row")
+{
+    fj::fleet_view fleet("self", seconds(30));
+    fleet.receive(report_of("a"), start);
+    fleet.mark_unreachable("a", fj::peer_failure::unresponsive, start);
+    fleet.expire(start + seconds(30));
+    REQUIRE(fleet.find("a") == nullptr);
+    fleet.recall(report_of("a"), start + seconds(31));
+    REQUIRE(fleet.find("a") != nullptr);
+    CHECK_FALSE(fleet.find("a")->is_reachable);
+    SECTION("it is used again once it reports")
+    {
+        CHECK(fleet.receive(report_of("a", 1, 9), start + seconds(32)));
+        CHECK(fleet.find("a")->is_reachable);
+    }
+    SECTION("a row that has outlived its node takes no share of the limits")
+    {
+        fleet.mark_unreachable(
+            "a", fj::peer_failure::unresponsive, start + seconds(32));
+        CHECK(fleet.reachable_share() == Approx(1));
+    }
+}
+
+// Guards against two ledgers of an account while a node stops.
+TEST_CASE("a node that leaves chooses the ledger as the others do")
+{
+    const std::vector<std::string> names{"a", "b", "c"};
+    for (int i = 0; i < 40; ++i) {
+        const auto account = fmt::format("account-{}", i);
+        fj::fleet_view leaving("a", seconds(30));
+        fj::fleet_view other("b", seconds(30));
+        for (const auto& name : names) {
+            leaving.receive(report_of(name), start);
+            other.receive(report_of(name), start);
+        }
+        leaving.begin_leave();
+        other.remove("a", 1, start);
+        CHECK(leaving.ledger_node(account) == other.ledger_node(account));
+    }
+}
+
 TEST_CASE("all nodes choose the same node for the ledger of an account")
 {
     const std::vector<std::string> names{"a", "b", "c", "d"};
--- a/src/fleet/fleet_view.cpp
+++ b/src/fleet/fleet_view.cpp
@@ -141,7 +141,7 @@
 void fleet_view::learn(const node_report& row, time_point now)
 {
     const auto address = parse_address(row.peer_address);
-    if (row.node == self_ || !address)
+    if (row.node == self_ || !address || has_departed(row))
         return;
     const auto found = members_.find(row.node);
     if (found != members_.end() &&
@@ -155,10 +155,18 @@
     notify_changed();
 }
 
+void fleet_view::recall(const node_report& row, time_point now)
+{
+    if (members_.contains(row.node))
+        return;
+    learn(row, now);
+    mark_unreachable(row.node, peer_failure::refused, now);
+}
+
 bool fleet_view::receive(const node_report& report, time_point now)
 {
     const auto address = parse_address(report.peer_address);
-    if (report.node == self_ || !address)
+    if (report.node == self_ || !address || has_departed(report))
         return false;
     auto& member = members_[report.node];
     if (member.report.node.empty())
@@ -189,7 +197,9 @@
     if (found == members_.end())
         return;
     auto& member = found->second;
-    const bool has_ended = failure == peer_failure::refused;
+    // A node that has ended stays so until it reports, even if its machine is
+    // gone as well.
+    const bool has_ended = member.has_ended || failure == peer_failure::refused;
     const bool differs = member.is_reachable || member.has_ended != has_ended;
     if (member.is_reachable)
         member.unreachable_since = now;
@@ -199,9 +209,18 @@
         notify_changed();
 }
 
+bool fleet_view::has_departed(const node_report& report) const
+{
+    const auto found = departed_.find(report.node);
+    return found != departed_.end() &&
+           report.incarnation <= found->second.incarnation;
+}
+
 void fleet_view::remove(
-    const instance_name& node, incarnation_number incarnation)
+    const instance_name& node, incarnation_number incarnation, time_point now)
 {
+    auto& departed = departed_[node];
+    departed = {std::max(departed.incarnation, incarnation), now};
     const auto found = members_.find(node);
     if (found == members_.end() ||
         found->second.report.incarnation > incarnation)
@@ -212,6 +231,9 @@
 
 void fleet_view::expire(time_point now)
 {
+    std::erase_if(departed_, [&](const auto& entry) {
+        return now - entry.second.left_at >= forget_after_;
+    });
     const auto count = std::erase_if(members_, [&](const auto& entry) {
         const auto& member = entry.second;
         return !member.is_reachable &&
@@ -244,11 +266,12 @@
 {
     auto best = self_;
     auto max_weight = rendezvous_weight(self_, account);
+    bool is_replaceable = is_leaving_;
     for (const auto& [name, member] : members_) {
         if (!member.is_reachable)
             continue;
         const auto weight = rendezvous_weight(name, account);
-        if (weight > max_weight) {
+        if (std::exchange(is_replaceable, false) || weight > max_weight) {
             max_weight = weight;
             best = name;
         }
--- a/src/mesh/fleet_link.cpp
+++ b/src/mesh/fleet_link.cpp
@@ -251,8 +251,8 @@
     BOOST_OUTCOME_TRY(const auto report, parse_report(report_text));
     const auto* known = deps_.fleet->find(report.node);
     const bool was_lost = known == nullptr || !known->is_reachable;
-    deps_.fleet->receive(report, clock::now());
-    if (was_lost) {
+    const bool differs = deps_.fleet->receive(report, clock::now());
+    if (was_lost && differs) {
         log(log_level::info, "peer_found",
             {{"peer", report.node}, {"life", report.incarnation}});
     }
@@ -297,7 +297,7 @@
         const auto node = fields.text("node", max_name_bytes, 1);
         const auto incarnation = fields.number("life");
         BOOST_OUTCOME_TRY(fields.finish());
-        deps_.fleet->remove(node, incarnation);
+        deps_.fleet->remove(node, incarnation, clock::now());
         return std::string("{}");
     }
     return fail(errc::not_found, "control", {}, std::string(name));
--- a/src/mesh/fleet_registration.cpp
+++ b/src/mesh/fleet_registration.cpp
@@ -4,13 +4,17 @@
 
 #include <fulmarjunction/core/log.hpp>
 
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <utility>
 
 namespace fulmarjunction {
 
 fleet_registration::fleet_registration(
     boost::asio::any_io_executor executor, dependencies deps)
-    : executor_(std::move(executor)), deps_(deps)
+    : executor_(std::move(executor)), deps_(std::move(deps))
 {
 }
 
@@ -21,6 +25,7 @@
         co_await deps_.store->put_node(deps_.reports->own_report());
     if (!incarnation)
         co_return incarnation.error();
+    row_version_ = incarnation.value();
     deps_.reports->set_incarnation(incarnation.value());
     co_return boost::outcome_v2::success();
 }
@@ -67,14 +72,71 @@
     }
 }
 
-awaitable<void> fleet_registration::leave()
+awaitable<void> fleet_registration::keep(std::function<duration()> period)
+{
+    boost::asio::steady_timer timer(executor_);
+    while (!is_leaving_) {
+        timer.expires_after(period());
+        boost::system::error_code ignored;
+        co_await timer.async_wait(
+            boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+        if (!is_leaving_)
+            co_await check_rows();
+    }
+}
+
+awaitable<void> fleet_registration::check_rows()
 {
-    const auto removed =
-        co_await deps_.store->remove_node(deps_.reports->own_report());
+    const auto rows = co_await deps_.store->read_fleet();
+    if (!rows) {
+        log(log_level::info, "rows_not_read",
+            {{"error", to_string(rows.error())}});
+        co_return;
+    }
+    const auto self = deps_.reports->own_report().node;
+    bool has_own_row = false;
+    for (const auto& row : rows.value().nodes) {
+        if (row.node == self)
+            has_own_row = true;
+        else if (!is_leaving_)
+            deps_.row_found(row);
+    }
+    if (!has_own_row && !is_leaving_)
+        co_await restore_row();
+}
+
+awaitable<void> fleet_registration::restore_row()
+{
+    const auto restored =
+        co_await deps_.store->restore_node(deps_.reports->own_report());
+    if (!restored) {
+        log(log_level::warning, "row_not_written",
+            {{"error", to_string(restored.error())}});
+        co_return;
+    }
+    if (!restored.value())
+        co_return;
+    row_version_ = *restored.value();
+    log(log_level::warning, "row_restored", {{"version", row_version_}});
+    // The removal of a leave in the meantime has found no row.
+    if (is_leaving_)
+        co_await remove_row();
+}
+
+awaitable<void> fleet_registration::remove_row()
+{
+    const auto removed = co_await deps_.store->remove_node(
+        deps_.reports->own_report().node, row_version_);
     if (!removed) {
         log(log_level::warning, "row_not_removed",
             {{"error", to_string(removed.error())}});
     }
 }
 
+awaitable<void> fleet_registration::leave()
+{
+    is_leaving_ = true;
+    co_await remove_row();
+}
+
 } // namespace fulmarjunction
--- a/src/mesh/fleet_registration.hpp
+++ b/src/mesh/fleet_registration.hpp
@@ -9,6 +9,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -23,8 +24,8 @@
     std::vector<node_report> nodes;
 };
 
-/// Enters the node into the shared store, finds the other nodes there, and
-/// removes the node when it stops.
+/// Enters the node into the shared store, finds the other nodes there, keeps
+/// its row, and removes the node when it stops.
 class fleet_registration
 {
 public:
@@ -32,6 +33,8 @@
     {
         fleet_store* store = nullptr;
         fleet_reports* reports = nullptr;
+        /// Called with each row that a later read has found.
+        std::function<void(const node_report& row)> row_found;
     };
 
     fleet_registration(
@@ -42,15 +45,27 @@
     /// same time finds the other.
     awaitable<fleet_entry> enter();
 
+    /// Reads the rows again from time to time, until the node leaves: nodes
+    /// that a long partition has made each other forget find each other again,
+    /// and a row that has been lost is restored.
+    /// @param period returns the time between two reads
+    awaitable<void> keep(std::function<duration()> period);
+
     /// Removes the node's row.
     awaitable<void> leave();
 
 private:
+    awaitable<void> check_rows();
+    awaitable<void> restore_row();
+    awaitable<void> remove_row();
     awaitable<result<void>> write_row();
     awaitable<result<fleet_entry>> read_rows();
 
     boost::asio::any_io_executor executor_;
     dependencies deps_;
+    /// Version of the node's row.
+    store_position row_version_ = 0;
+    bool is_leaving_ = false;
 };
 
 } // namespace fulmarjunction
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -36,6 +36,9 @@
 /// it may still reach the store and only be cut off from its peers.
 constexpr seconds unresponsive_retention(30);
 
+/// Keeps the reads of all rows below ten per second in a large fleet.
+constexpr milliseconds row_check_per_node(200);
+
 constexpr milliseconds tick_period(250);
 /// Period of a timer whose delay shows whether the node gets enough processor
 /// time. It runs only while the gate is busy.
@@ -86,6 +89,7 @@
     asio::io_context& context, mesh_settings settings, mesh_adapter adapter)
     : executor_(context.get_executor()), settings_(std::move(settings)),
       adapter_(std::move(adapter)), timers_(clock::now()), wake_up_(executor_),
+      random_(random_numbers()),
       config_(settings_.revocation_bound - feed_lag - trust_margin),
       monitor_(
           settings_.service, format_address(settings_.backend),
@@ -122,9 +126,14 @@
             link_->announce();
     };
     reports_ = std::make_unique<fleet_reports>(executor_, std::move(reporting));
-    registration_ = std::make_unique<fleet_registration>(
-        executor_,
-        fleet_registration::dependencies{adapter_.store.get(), reports_.get()});
+    fleet_registration::dependencies registering;
+    registering.store = adapter_.store.get();
+    registering.reports = reports_.get();
+    registering.row_found = [this](const node_report& row) {
+        fleet_.recall(row, clock::now());
+    };
+    registration_ =
+        std::make_unique<fleet_registration>(executor_, std::move(registering));
     monitor_.on_change = [this] { backend_changed(); };
     fleet_.on_change = [this] { reports_->refresh_targets(); };
     fleet_.on_report = [this](const node_report& report) {
@@ -438,12 +447,26 @@
     suspect_link_->start();
     co_await has_read.wait();
     follower_->start();
+    asio::co_spawn(
+        executor_, registration_->keep([this] { return row_check_period(); }),
+        asio::detached);
     has_joined_ = true;
     log(log_level::info, "joined",
         {{"nodes", fleet_.members().size()},
          {"life", reports_->incarnation()}});
 }
 
+/// Returns a time that is random, so that nodes that start together don't read
+/// the store together, and longer in large fleets, whose reads are larger.
+duration mesh_node::impl::row_check_period()
+{
+    const auto nodes = static_cast<std::int64_t>(fleet_.members().size());
+    const auto period =
+        std::max(settings_.row_check_period, nodes * row_check_per_node);
+    const auto jitter = random_() % static_cast<std::uint64_t>(period.count());
+    return period + milliseconds(jitter);
+}
+
 awaitable<streamed_response>
 mesh_node::impl::serve_metrics(http_request request)
 {
--- a/src/mesh/mesh_node_impl.hpp
+++ b/src/mesh/mesh_node_impl.hpp
@@ -47,6 +47,7 @@
     void
     on_call_refused(const call_context& request, const service_name& service);
     bool is_ready() const;
+    duration row_check_period();
 
     awaitable<void> drive_timers();
     void probe_processor();
@@ -67,6 +68,7 @@
     mesh_adapter adapter_;
     timer_service timers_;
     boost::asio::steady_timer wake_up_;
+    std::function<std::uint64_t()> random_;
 
     mesh_metrics metrics_;
     config_copy config_;
--- a/src/mesh/mesh_node_stop.cpp
+++ b/src/mesh/mesh_node_stop.cpp
@@ -54,6 +54,7 @@
 void mesh_node::impl::leave_fleet()
 {
     has_left_ = true;
+    fleet_.begin_leave();
     reports_->refresh_targets();
     if (!has_joined_)
         return;
--- a/src/mesh/mesh_nodes_test.cpp
+++ b/src/mesh/mesh_nodes_test.cpp
@@ -222,6 +222,21 @@
     run_until([&] { return has_stopped; });
 }
 
+// Guards against nodes that each keep the ledger of an account, since they
+// never learn of each other: the row of one was gone when the other started.
+TEST_CASE("nodes that miss each other's rows find each other")
+{
+    auto& fleet = make_fleet();
+    fleet.rows->config.routes.push_back(
+        test_fleet::make_route("shop", "/shop/", true));
+    fleet.rows->config.routes.back().targets = {{"shop", 1}};
+    fleet.publish();
+    fleet.rows->nodes.erase("n1");
+    fleet.add_instance("n4", "books");
+    run_until([&] { return fleet.send("/shop/1", "", 3).status == 200; });
+    CHECK(fleet.rows->nodes.count("n1") == 1);
+}
+
 // Guards against the stale row of a node whose address another one has taken:
 // failed exchanges with the old one must not close connections of the new one.
 TEST_CASE(
--- a/src/mesh/mesh_settings.cpp
+++ b/src/mesh/mesh_settings.cpp
@@ -83,6 +83,8 @@
         fields.number("retry_slack", 0, max_retry_slack, settings.retry_slack);
     settings.retry_window =
         read_time(fields, "retry_window_ms", settings.retry_window);
+    settings.row_check_period =
+        read_time(fields, "row_check_ms", settings.row_check_period);
     settings.log_lines = static_cast<unsigned>(fields.integer(
         "log_lines_per_s", 0, max_log_lines, settings.log_lines));
     BOOST_OUTCOME_TRYV(fields.finish());
--- a/src/mesh/mesh_test_fleet.hpp
+++ b/src/mesh/mesh_test_fleet.hpp
@@ -97,10 +97,19 @@
         co_return row.incarnation;
     }
 
+    fj::awaitable<fj::result<std::optional<fj::store_position>>>
+    restore_node(const fj::node_report& self) override
+    {
+        const bool is_missing = rows_->nodes.emplace(self.node, self).second;
+        if (!is_missing)
+            co_return std::nullopt;
+        co_return ++rows_->last_incarnation;
+    }
+
     fj::awaitable<fj::result<void>>
-    remove_node(const fj::node_report& row) override
+    remove_node(const fj::instance_name& node, fj::store_position) override
     {
-        rows_->nodes.erase(row.node);
+        rows_->nodes.erase(node);
         co_return boost::outcome_v2::success();
     }
 
@@ -215,6 +224,7 @@
         settings.peers = free_address();
         settings.metrics = free_address();
         settings.revocation_bound = revocation_bound;
+        settings.row_check_period = milliseconds(1000);
         settings.log_lines = 0;
         fj::mesh_adapter adapter;
         adapter.format = make_format();
