http: a caller that leaves during a silent answer is noticed

Cause: once the head of an answer had been passed on, the end of the caller's connection was reported to a handler that had returned. The next write would have failed, but there was none.

Change: when the input of a caller has ended and nothing has been written for 0.2 s, the server cancels the answer that it sends. What reads it closes its connection or resets its stream.

The test with the old code: body_deadline_test.cpp:95: FAILED: CHECK( silent.cancellations == 1 ), 0 == 1

--- a/include/fulmarjunction/http/http.hpp
+++ b/include/fulmarjunction/http/http.hpp
@@ -40,7 +40,8 @@
     boost::asio::ip::tcp::endpoint from;
     /// Registers an action to run as soon as the caller's connection ends,
     /// also while the response is being sent. A caller that half-closes its
-    /// connection counts as disconnected but still gets the response.
+    /// connection counts as disconnected but still gets the response, unless
+    /// its body pauses for longer than a moment.
     std::function<void(std::function<void()>)> on_cancel;
     /// Returns whether the caller has closed its connection, also when the end
     /// has not been read yet.
--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -173,6 +173,7 @@
         start_write_timer(idle_timeout);
         const auto written = co_await stream_.write_some(bytes);
         total.size += written.size;
+        written_ += written.size;
         total.failure = written.failure;
         if (written.failure)
             co_return total;
--- a/src/http/connection.hpp
+++ b/src/http/connection.hpp
@@ -10,6 +10,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -57,6 +58,9 @@
     boost::asio::awaitable<io_result>
     write(boost::asio::const_buffer bytes, milliseconds idle_timeout);
 
+    /// Returns the number of bytes that the kernel has accepted so far.
+    std::uint64_t bytes_written() const { return written_; }
+
     /// Ends the output and discards input until the peer closes or `until`
     /// passes: closing with unread input would reset the connection and
     /// could destroy a response in transit.
@@ -90,6 +94,7 @@
     boost::asio::steady_timer output_unlocked_;
     boost::asio::steady_timer write_timer_;
     std::size_t peak_input_ = 0;
+    std::uint64_t written_ = 0;
     bool writing_ = false;
     bool ended_ = false;
     bool clean_end_ = false;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -6,6 +6,8 @@
 #include <http/body_writer.hpp>
 #include <http/message_reader.hpp>
 
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -33,6 +35,10 @@
 /// Maximum wait for the caller to close after the last response.
 constexpr milliseconds linger_timeout{1000};
 
+/// Time without a write after which a caller whose input has ended counts as
+/// gone. One that only ended its output gets answers without such pauses.
+constexpr milliseconds leave_check_delay{200};
+
 /// Delay after a failed accept, for example when file descriptors are
 /// exhausted.
 constexpr milliseconds accept_retry_delay{100};
@@ -109,13 +115,16 @@
         std::shared_ptr<message_reader> reader;
         std::shared_ptr<cancel_actions> cancellation;
         std::optional<streamed_response> answer;
+        /// Cancels the coroutine that processes the request and may send
+        /// answers.
+        asio::cancellation_signal stop;
     };
     using exchange_ptr = std::shared_ptr<exchange>;
 
     struct session
     {
         explicit session(const asio::any_io_executor& executor)
-            : answer_sent(executor)
+            : answer_sent(executor), leave_check(executor)
         {
         }
 
@@ -131,6 +140,10 @@
         bool reading = false;
         /// Whether an answer is being sent.
         bool sending = false;
+        /// The request whose coroutine sends the answers.
+        exchange_ptr sender;
+        /// Runs while an answer is sent to a caller whose input has ended.
+        asio::steady_timer leave_check;
         /// Whether no more requests are read or answered.
         bool closing = false;
 
@@ -168,8 +181,9 @@
     awaitable<streamed_response> call_handler(http_request request);
     http_request
     make_request(const session& current, const exchange& pending) const;
+    static void watch_for_leave(const session_ptr& current);
     awaitable<bool> respond(
-        session& current, streamed_response response,
+        const session_ptr& current, streamed_response response,
         const detail::message_head& head, bool keep_alive);
 
     asio::any_io_executor executor_;
@@ -261,6 +275,7 @@
         if (const auto ended = weak.lock()) {
             for (const auto& pending : ended->exchanges)
                 pending->cancellation->run();
+            watch_for_leave(ended);
         }
     };
     // g++ 12 evaluates `co_await` on the right of `&&` in a loop condition
@@ -336,16 +351,19 @@
     asio::co_spawn(
         executor_,
         run_exchange(shared_from_this(), current, pending, std::move(request)),
-        [current](const std::exception_ptr& exception) {
-            // A body that throws must not look like a complete one.
-            if (exception) {
-                current->closing = true;
-                current->exchanges.clear();
-                current->sending = false;
-                current->conn->abort();
-                current->answer_sent.cancel();
-            }
-        });
+        asio::bind_cancellation_slot(
+            pending->stop.slot(),
+            [current, pending](const std::exception_ptr& exception) {
+                // A body that throws must not look like a complete one.
+                if (exception) {
+                    current->closing = true;
+                    current->exchanges.clear();
+                    current->sending = false;
+                    current->sender = nullptr;
+                    current->conn->abort();
+                    current->answer_sent.cancel();
+                }
+            }));
     const auto max_in_progress =
         has_body || limits_.max_pipelined == 0 ? 0 : limits_.max_pipelined - 1;
     co_await wait_for_answers(current, max_in_progress);
@@ -377,8 +395,11 @@
     const in_flight_guard guard(self->in_flight_);
     auto answer = co_await self->call_handler(std::move(request));
     pending->answer = std::move(answer);
-    if (!current->sending && !current->closing)
+    if (!current->sending && !current->closing) {
+        current->sender = pending;
         co_await send_answers(self, current);
+        current->sender = nullptr;
+    }
 }
 
 /// Sends the available answers in the order of their requests.
@@ -392,7 +413,7 @@
             break;
         pending->reader->before_body = nullptr;
         bool keep_open = co_await self->respond(
-            *current, std::move(*pending->answer), pending->reader->head(),
+            current, std::move(*pending->answer), pending->reader->head(),
             pending->reader->head().keep_alive);
         pending->reader->consume_last_chunk();
         keep_open = keep_open && pending->reader->is_done();
@@ -459,16 +480,38 @@
     if (current->closing)
         co_return false;
     detail::message_head head;
-    co_return co_await respond(*current, refuse_(status), head, false);
+    co_return co_await respond(current, refuse_(status), head, false);
+}
+
+/// Cancels the answer that is being sent when the caller's input has ended and
+/// nothing has been written for a while. A caller that has left is noticed at a
+/// write, but the next piece of the answer may be far away.
+void http_server::impl::watch_for_leave(const session_ptr& current)
+{
+    if (!current->sender)
+        return;
+    current->leave_check.expires_after(leave_check_delay);
+    current->leave_check.async_wait(
+        [weak = std::weak_ptr<session>(current),
+         written = current->conn->bytes_written()](
+            const boost::system::error_code& failure) {
+            const auto watched = weak.lock();
+            if (failure || !watched || !watched->sender)
+                return;
+            if (watched->conn->bytes_written() != written)
+                watch_for_leave(watched);
+            else
+                watched->sender->stop.emit(asio::cancellation_type::terminal);
+        });
 }
 
 /// Sends a response.
 /// @return whether the connection can be reused
 awaitable<bool> http_server::impl::respond(
-    session& current, streamed_response response,
+    const session_ptr& current, streamed_response response,
     const detail::message_head& head, bool keep_alive)
 {
-    auto& conn = *current.conn;
+    auto& conn = *current->conn;
     auto framing = body_framing::chunked;
     if (has_no_body(response.status))
         framing = body_framing::none;
@@ -478,7 +521,7 @@
         framing = body_framing::until_close;
     // A pipelined request after this one may already have been dispatched, so
     // only the last answer of a shutdown closes the connection.
-    const bool is_last = draining_ && current.exchanges.size() <= 1;
+    const bool is_last = draining_ && current->exchanges.size() <= 1;
     keep_alive = keep_alive && !is_last && framing != body_framing::until_close;
     auto text = detail::format_response_head(response, framing, keep_alive);
     if (!text) {
@@ -495,8 +538,10 @@
     }
     if (!response.body)
         response.body = empty_body();
+    if (conn.has_ended())
+        watch_for_leave(current);
     const auto done = co_await detail::write_body(
-        current.conn, std::move(response.body), framing,
+        current->conn, std::move(response.body), framing,
         response.content_length.value_or(0), limits_.idle_timeout,
         std::move(*text));
     if (!done) {
--- a/src/mesh/body_deadline_test.cpp
+++ b/src/mesh/body_deadline_test.cpp
@@ -68,6 +68,34 @@
     CHECK(endless.endless_reads <= reads + 10);
 }
 
+// Guards against work that goes on for callers that have left while an answer
+// is silent, at the node beside the backend server and at another one.
+TEST_CASE("a caller that leaves during a silent answer is noticed")
+{
+    auto& fleet = make_fleet();
+    fleet.instances[1]->send_heartbeat(true);
+    auto& silent = *fleet.instances[2];
+    silent.silence = std::chrono::duration_cast<milliseconds>(hang_limit);
+    for (const std::size_t entry : {0, 2}) {
+        silent.cancellations = 0;
+        {
+            fj::http_client client(
+                io().get_executor(), fleet.instances[entry]->settings.callers,
+                fj::http_limits{});
+            auto request = get("/open/1");
+            request.headers = {{"host", "h"}, {"id", "leaving"}};
+            const auto answer =
+                run(client.send(std::move(request), far_deadline()));
+            REQUIRE(answer);
+        }
+        const auto until = fj::clock::now() + slack;
+        run_until([&] {
+            return silent.cancellations > 0 || fj::clock::now() >= until;
+        });
+        CHECK(silent.cancellations == 1);
+    }
+}
+
 // Guards against a request that is held for as long as its caller sends a body.
 TEST_CASE(
     "a request body without end does not outlast the timeout of its route")
--- a/src/mesh/mesh_test_fleet.hpp
+++ b/src/mesh/mesh_test_fleet.hpp
@@ -315,11 +315,23 @@
         };
     }
 
+    /// Returns a body that ends after `silence`.
+    fj::body_reader silent_body()
+    {
+        return [this](asio::mutable_buffer)
+                   -> fj::awaitable<fj::result<std::size_t>> {
+            asio::steady_timer timer(io(), silence);
+            co_await timer.async_wait(use_awaitable);
+            co_return std::size_t{0};
+        };
+    }
+
     fj::awaitable<fj::streamed_response> serve(fj::http_request request)
     {
         ++runs;
         const auto& fields = request.message.headers;
         run_ids.insert(field(fields, "id"));
+        request.on_cancel([this] { ++cancellations; });
         last_headers = fields;
         const bool is_crashing =
             request.message.target.find("crash") != std::string::npos;
@@ -332,10 +344,12 @@
         else if (resets_connections)
             reset_connections();
         auto answer = text_response(status, name);
-        if (has_endless_answers) {
+        if (has_endless_answers || silence > milliseconds(0))
             answer.content_length.reset();
+        if (has_endless_answers)
             answer.body = endless_body();
-        }
+        else if (silence > milliseconds(0))
+            answer.body = silent_body();
         answer.headers.push_back({"run", backend_id()});
         answer.headers.push_back({"id", field(fields, "id")});
         answer.headers.push_back({"fj-o", "overloaded;1;0;-1"});
@@ -362,6 +376,10 @@
     int crashes = 0;
     bool resets_connections = false;
     bool has_endless_answers = false;
+    /// How long the body of an answer is silent before it ends.
+    milliseconds silence{};
+    /// Requests whose connection ended before their answer.
+    int cancellations = 0;
     /// Reads of bodies without end.
     int endless_reads = 0;
     /// Requests per second that the backend server names in its answers.
