mesh: what is known of crashing requests outlives the loss of all nodes

Cause: crashes were known in the memory of nodes only; a node that starts learns them from those that run.

Change: a node stores the requests that are refused and have crashed its own backend server, in a row of the shared store, and removes them with their crashes. A node that starts merges these rows, aged by the store's clock, before it is ready.

The test without the rows: crashing_request_test.cpp:226: FAILED: CHECK( fleet.send(crashing_path, key, 3).status == 503 ), 502 == 503 crashing_request_test.cpp:227: FAILED: CHECK( count_crashes(fleet) == 0 ), 1 == 0

--- a/include/fulmarjunction/store/fleet_store.hpp
+++ b/include/fulmarjunction/store/fleet_store.hpp
@@ -32,6 +32,16 @@
     bool is_history_lost = false;
 };
 
+/// Reports of requests that crash backend servers, as a node has stored them.
+struct stored_suspects
+{
+    instance_name node;
+    /// JSON form of the reports, see `suspect_reports.hpp`.
+    std::string reports;
+    /// Time since they were stored, by the store's clock.
+    duration age{};
+};
+
 /// State of the fleet in the store at one point in time.
 struct fleet_rows
 {
@@ -40,6 +50,7 @@
     std::optional<std::string> secret;
     /// Reports as written, each with the incarnation that its write began.
     std::vector<node_report> nodes;
+    std::vector<stored_suspects> suspects;
 };
 
 /// The shared store. Its answers are linearizable; every call may fail, be
@@ -78,6 +89,12 @@
     virtual awaitable<result<std::optional<store_position>>>
     restore_node(const node_report& self) = 0;
 
+    /// Stores a node's reports of requests that crash backend servers, in place
+    /// of its earlier ones. They outlive the node and its row.
+    /// @param reports JSON form of the reports; empty to remove them
+    virtual awaitable<result<void>>
+    put_suspects(const instance_name& node, const std::string& reports) = 0;
+
     /// Removes the row of a node if it still has this version.
     virtual awaitable<result<void>>
     remove_node(const instance_name& node, store_position version) = 0;
--- a/include/fulmarjunction/suspects/suspects.hpp
+++ b/include/fulmarjunction/suspects/suspects.hpp
@@ -153,6 +153,11 @@
     std::vector<suspect_report>
     own_changes(std::uint64_t after, std::size_t limit, time_point now) const;
 
+    /// Returns reports of the fingerprints that are refused for their crashes,
+    /// of which at least one happened at this instance, at most `limit`.
+    std::vector<suspect_report>
+    refused_here(std::size_t limit, time_point now) const;
+
     /// Returns the number of the last change.
     std::uint64_t last_change() const { return last_change_; }
 
@@ -212,6 +217,7 @@
     std::vector<suspect_report> collect(
         std::uint64_t suspect::*change, std::uint64_t after, std::size_t limit,
         time_point now) const;
+    suspect_report make_report(fingerprint print, time_point now) const;
 
     suspect_settings settings_;
     instance_name self_;
--- a/src/mesh/crashing_request_test.cpp
+++ b/src/mesh/crashing_request_test.cpp
@@ -207,3 +207,22 @@
         run_until([&] { return answer->has_value(); });
     CHECK(count_crashes(fleet) == 2);
 }
+
+// Guards against a request that comes back after all nodes have been lost, and
+// crashes as many servers again.
+TEST_CASE("a node that starts knows of crashes from before all nodes were lost")
+{
+    auto& lost = make_book_fleet();
+    send_crashing(lost, 6);
+    REQUIRE(count_crashes(lost) >= 2);
+    run_until([&] { return !lost.rows->suspects.empty(); });
+
+    auto& fleet = make_fleet();
+    fleet.rows->suspects = lost.rows->suspects;
+    fleet.add_instance("n4", "books");
+    fleet.instances[1]->send_heartbeat(true);
+    fleet.instances[2]->send_heartbeat(true);
+    run_until([&] { return fleet.send("/books/1", key, 3).body == "n4"; });
+    CHECK(fleet.send(crashing_path, key, 3).status == 503);
+    CHECK(count_crashes(fleet) == 0);
+}
--- a/src/mesh/fleet_registration.cpp
+++ b/src/mesh/fleet_registration.cpp
@@ -39,6 +39,7 @@
         co_return rows.error();
     fleet_entry entry;
     entry.nodes = std::move(rows.value().nodes);
+    entry.suspects = std::move(rows.value().suspects);
     if (rows.value().secret) {
         entry.secret = std::move(*rows.value().secret);
         co_return entry;
--- a/src/mesh/fleet_registration.hpp
+++ b/src/mesh/fleet_registration.hpp
@@ -22,6 +22,8 @@
     std::string secret;
     /// Rows of all nodes, including this one's.
     std::vector<node_report> nodes;
+    /// Requests that have crashed backend servers before.
+    std::vector<stored_suspects> suspects;
 };
 
 /// Enters the node into the shared store, finds the other nodes there, keeps
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -108,6 +108,8 @@
     gating.on_blame = [this] {
         if (suspect_link_)
             suspect_link_->announce();
+        if (suspect_archive_)
+            suspect_archive_->update();
     };
     gate_ = std::make_shared<gate_service>(
         executor_, settings_.backend, std::move(gating), slot_gate_settings{});
@@ -288,6 +290,14 @@
     suspect_link_ =
         std::make_unique<suspect_link>(executor_, std::move(suspect_reporting));
 
+    suspect_archive::dependencies archiving;
+    archiving.store = adapter_.store.get();
+    archiving.suspects = &suspects_;
+    archiving.timers = &timers_;
+    archiving.self = settings_.name;
+    suspect_archive_ =
+        std::make_unique<suspect_archive>(executor_, std::move(archiving));
+
     forwarder::dependencies forwarding;
     forwarding.self = settings_.name;
     forwarding.fleet = &fleet_;
@@ -433,6 +443,7 @@
     const cancel_event has_read(executor_);
     asio::co_spawn(executor_, read_config(has_read), asio::detached);
     const auto entry = co_await registration_->enter();
+    suspect_archive_->load(entry.suspects);
     const auto opened = open_peers(entry.secret);
     if (!opened) {
         log(log_level::error, "start_failed",
@@ -445,6 +456,7 @@
     reports_->refresh_targets();
     link_->start();
     suspect_link_->start();
+    suspect_archive_->start();
     co_await has_read.wait();
     follower_->start();
     asio::co_spawn(
--- a/src/mesh/mesh_node_impl.hpp
+++ b/src/mesh/mesh_node_impl.hpp
@@ -5,6 +5,7 @@
 #include "config_follower.hpp"
 #include "fleet_registration.hpp"
 #include "fleet_reports.hpp"
+#include "suspect_archive.hpp"
 #include "suspect_link.hpp"
 
 #include <fulmarjunction/core/timer_service.hpp>
@@ -92,6 +93,7 @@
     std::unique_ptr<fleet_registration> registration_;
     std::unique_ptr<fleet_link> link_;
     std::unique_ptr<suspect_link> suspect_link_;
+    std::unique_ptr<suspect_archive> suspect_archive_;
     std::unique_ptr<forwarder> forwarder_;
     std::unique_ptr<caller_entry> entry_;
     std::unique_ptr<http_server> callers_;
--- a/src/mesh/mesh_test_fleet.hpp
+++ b/src/mesh/mesh_test_fleet.hpp
@@ -30,6 +30,7 @@
     fj::service_document config;
     fj::store_position position = 1;
     std::map<std::string, fj::node_report> nodes;
+    std::map<std::string, std::string> suspects;
     std::string secret;
     fj::incarnation_number last_incarnation = 0;
     bool is_unavailable = false;
@@ -76,6 +77,8 @@
             known.secret = rows_->secret;
         for (const auto& [name, report] : rows_->nodes)
             known.nodes.push_back(report);
+        for (const auto& [name, reports] : rows_->suspects)
+            known.suspects.push_back({name, reports, {}});
         co_return known;
     }
 
@@ -106,6 +109,16 @@
         co_return ++rows_->last_incarnation;
     }
 
+    fj::awaitable<fj::result<void>> put_suspects(
+        const fj::instance_name& node, const std::string& reports) override
+    {
+        if (reports.empty())
+            rows_->suspects.erase(node);
+        else
+            rows_->suspects[node] = reports;
+        co_return boost::outcome_v2::success();
+    }
+
     fj::awaitable<fj::result<void>>
     remove_node(const fj::instance_name& node, fj::store_position) override
     {
--- a/src/suspects/suspect_list.cpp
+++ b/src/suspects/suspect_list.cpp
@@ -245,19 +245,41 @@
     std::vector<suspect_report> reports;
     reports.reserve(changed.size());
     for (const auto& [number, print] : changed) {
-        suspect_report report{print, {}};
-        for (const auto& [id, state] : suspects_.at(print).crashes) {
-            if (id.number != 0 && now < state.expires)
-                report.crashes.push_back(
-                    {id.instance, id.number, state.expires - now,
-                     state.cleared});
-        }
+        auto report = make_report(print, now);
         if (!report.crashes.empty())
             reports.push_back(std::move(report));
     }
     return reports;
 }
 
+suspect_report
+suspect_list::make_report(fingerprint print, time_point now) const
+{
+    suspect_report report{print, {}};
+    for (const auto& [id, state] : suspects_.at(print).crashes) {
+        if (id.number != 0 && now < state.expires)
+            report.crashes.push_back(
+                {id.instance, id.number, state.expires - now, state.cleared});
+    }
+    return report;
+}
+
+std::vector<suspect_report>
+suspect_list::refused_here(std::size_t limit, time_point now) const
+{
+    std::vector<suspect_report> reports;
+    for (const auto& [print, entry] : suspects_) {
+        const auto known = summarize(print, now);
+        if (known.crashes < crashes_to_refuse ||
+            !known.instances.contains(self_))
+            continue;
+        if (reports.size() == limit)
+            break;
+        reports.push_back(make_report(print, now));
+    }
+    return reports;
+}
+
 void suspect_list::expire(time_point now)
 {
     for (auto& [print, entry] : suspects_) {
--- a/src/suspects/suspects_test.cpp
+++ b/src/suspects/suspects_test.cpp
@@ -283,3 +283,29 @@
     CHECK(list.own_changes(last, 100, start)[0].crashes[0].cleared);
     CHECK(list.changes(0, 100, start).size() == 2);
 }
+
+// Guards against innocent requests that are kept in the store, and against
+// crashes of one node that every node stores.
+TEST_CASE("a node stores only refused requests that crashed its own server")
+{
+    auto first = make_list("i1");
+    auto second = make_list("i2");
+    auto third = make_list("i3");
+    first.crashed({7, 8}, std::nullopt, start);
+    CHECK(first.refused_here(10, start).empty());
+    second.crashed({7}, std::nullopt, start);
+    for (auto* list : {&first, &second, &third}) {
+        exchange(first, *list, start);
+        exchange(second, *list, start);
+    }
+    for (const auto* list : {&first, &second}) {
+        const auto reports = list->refused_here(10, start);
+        REQUIRE(reports.size() == 1);
+        CHECK(reports[0].print == 7);
+        CHECK(reports[0].crashes.size() == 2);
+    }
+    CHECK(third.refused_here(10, start).empty());
+    // An answer shows that it was not the cause.
+    first.finished(7, start);
+    CHECK(first.refused_here(10, start).empty());
+}
