http: a shutdown answers requests on connections not accepted yet

Cause: closing the listening socket reset the connections that the kernel had completed, with the requests in them, and a connection that was accepted in the same turn was dropped. Found while looking for what a planned stop under load can cut.

Change: a shutdown accepts what is pending before it closes the socket.

Evidence: the test with the old code fails for all of its 20 callers: shutdown_test.cpp:69: FAILED: CHECK( answer.starts_with("HTTP/1.1 200") )

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -165,6 +165,8 @@
     };
 
     static awaitable<void> accept_loop(std::shared_ptr<impl> self);
+    void accept_pending();
+    void start_session(tcp::socket socket, const tcp::endpoint& from);
     static awaitable<void>
     serve(std::shared_ptr<impl> self, session_ptr current);
     awaitable<bool> start_tls(std::shared_ptr<connection> conn);
@@ -216,38 +218,58 @@
         tcp::endpoint from;
         co_await self->acceptor_.async_accept(
             socket, from, asio::redirect_error(asio::use_awaitable, failure));
-        if (!self->acceptor_.is_open())
-            co_return;
-        if (failure) {
+        if (!failure) {
+            // Also after the end of the loop: the caller is connected.
+            self->start_session(std::move(socket), from);
+        } else if (self->acceptor_.is_open()) {
             asio::steady_timer retry_timer(self->executor_, accept_retry_delay);
             co_await retry_timer.async_wait(
                 asio::redirect_error(asio::use_awaitable, failure));
-            continue;
-        }
-        if (self->sessions_.size() >= self->limits_.max_connections) {
-            log(log_level::warning, "http_connection_refused",
-                {{"from", from.address().to_string()},
-                 {"limit", self->limits_.max_connections}});
-            continue;
         }
-        auto current = std::make_shared<session>(self->executor_);
-        current->conn = std::make_shared<connection>(
-            detail::byte_stream(std::move(socket), self->tls_),
-            self->limits_.max_header_bytes);
-        current->from = from;
-        self->sessions_.insert(current);
-        asio::co_spawn(
-            self->executor_, serve(self, current),
-            [self, current](const std::exception_ptr& exception) {
-                // A body that throws must not look like a complete one.
-                if (exception)
-                    current->conn->abort();
-                current->conn->close();
-                self->sessions_.erase(current);
-            });
     }
 }
 
+/// Accepts the connections that the kernel has completed. Closing the listening
+/// socket would reset them, with requests that their callers have sent.
+void http_server::impl::accept_pending()
+{
+    boost::system::error_code failure;
+    acceptor_.non_blocking(true, failure);
+    while (!failure) {
+        tcp::socket socket(executor_);
+        tcp::endpoint from;
+        acceptor_.accept(socket, from, failure);
+        if (!failure)
+            start_session(std::move(socket), from);
+    }
+}
+
+void http_server::impl::start_session(
+    tcp::socket socket, const tcp::endpoint& from)
+{
+    if (sessions_.size() >= limits_.max_connections) {
+        log(log_level::warning, "http_connection_refused",
+            {{"from", from.address().to_string()},
+             {"limit", limits_.max_connections}});
+        return;
+    }
+    auto current = std::make_shared<session>(executor_);
+    current->conn = std::make_shared<connection>(
+        detail::byte_stream(std::move(socket), tls_), limits_.max_header_bytes);
+    current->from = from;
+    sessions_.insert(current);
+    asio::co_spawn(
+        executor_, serve(shared_from_this(), current),
+        [self = shared_from_this(),
+         current](const std::exception_ptr& exception) {
+            // A body that throws must not look like a complete one.
+            if (exception)
+                current->conn->abort();
+            current->conn->close();
+            self->sessions_.erase(current);
+        });
+}
+
 awaitable<bool> http_server::impl::start_tls(std::shared_ptr<connection> conn)
 {
     asio::steady_timer handshake_timer(executor_, limits_.head_timeout);
@@ -557,6 +579,7 @@
 {
     begin_drain();
     stopping_ = true;
+    accept_pending();
     boost::system::error_code ignored;
     acceptor_.close(ignored);
     for (const auto& current : sessions_) {
