peer: typed causes of failed connections, handshakes counted by a guard

Cause: fleet_link decided by words in the text of an error whether a node has ended or was replaced.

Change: `error::connecting` names the cause. The count of handshakes is released by a destructor.

Result: "errors show whether a peer has ended or was replaced" is new; the mesh tests of ended and replaced nodes pass unchanged. No test provokes a throwing handshake.

--- a/include/fulmarjunction/core/error.hpp
+++ b/include/fulmarjunction/core/error.hpp
@@ -33,6 +33,16 @@
 /// Returns the name of an error category as it appears in logs.
 std::string_view to_string(errc code);
 
+/// Why a peer could not be reached, where that shows more than the category.
+enum class connect_problem
+{
+    unknown,
+    /// No process listens at the address.
+    refused,
+    /// Another instance has the address.
+    other_instance
+};
+
 /// A failure, with the step that failed and the peer involved.
 struct error
 {
@@ -43,6 +53,7 @@
     std::string peer;
     /// Human-readable description.
     std::string detail;
+    connect_problem connecting = connect_problem::unknown;
 };
 
 /// Formats an error for one log field: `step [peer]: code: detail`.
--- a/src/mesh/fleet_link.cpp
+++ b/src/mesh/fleet_link.cpp
@@ -184,10 +184,10 @@
     const auto* member = deps_.fleet->find(node);
     if (member == nullptr)
         return;
-    const bool is_refused = problem.detail.find("refused") != std::string::npos;
+    const bool is_refused = problem.connecting == connect_problem::refused;
     // Another node has taken over the address and owns the connection.
     const bool is_replaced =
-        problem.detail.find("another instance") != std::string::npos;
+        problem.connecting == connect_problem::other_instance;
     const auto misses = ++exchanges_[node].missed_exchanges;
     if (!is_refused && misses < max_missed_exchanges) {
         // Retry at once, so that a single lost message marks no node as lost.
@@ -214,7 +214,7 @@
     const auto* member = deps_.fleet->find(node);
     if (member == nullptr || !member->is_reachable)
         return;
-    if (problem.detail.find("refused") != std::string::npos) {
+    if (problem.connecting == connect_problem::refused) {
         handle_exchange_failure(node, problem);
         return;
     }
--- a/src/peer/client.cpp
+++ b/src/peer/client.cpp
@@ -74,17 +74,16 @@
 std::optional<error>
 check_session(peer_session& session, const instance_name& expected)
 {
-    std::string reason;
-    if (!session.accepts_streams())
-        reason = "the connection has closed";
-    else if (!expected.empty() && session.peer_name() != expected)
-        // fleet_link recognizes a replaced instance by "another instance".
-        reason = "another instance than " + expected;
-    else
+    error failure{errc::connection_failed, "peer.send", session.peer_name()};
+    if (!session.accepts_streams()) {
+        failure.detail = "the connection has closed";
+    } else if (!expected.empty() && session.peer_name() != expected) {
+        failure.detail = "another instance than " + expected;
+        failure.connecting = connect_problem::other_instance;
+    } else {
         return std::nullopt;
-    return error{
-        errc::connection_failed, "peer.send", session.peer_name(),
-        std::move(reason)};
+    }
+    return failure;
 }
 
 /// Sends a request on an open session and waits for the response's head.
@@ -259,8 +258,11 @@
     tcp::socket socket(executor_);
     const auto failure = co_await connect_socket(socket, address);
     if (failure) {
-        co_return fail(
-            errc::connection_failed, "peer.connect", name, failure.message());
+        error problem{
+            errc::connection_failed, "peer.connect", name, failure.message()};
+        if (failure == asio::error::connection_refused)
+            problem.connecting = connect_problem::refused;
+        co_return problem;
     }
     detail::byte_stream stream(std::move(socket), tls_);
     auto peer = co_await detail::authenticate(
--- a/src/peer/peer_test.cpp
+++ b/src/peer/peer_test.cpp
@@ -518,6 +518,26 @@
     CHECK(run(peer.fetch(get("/"), fj::clock::now())) == "connection_failed");
 }
 
+// Guards against decisions by the words of an error: a node that has ended and
+// one whose address another has taken are treated differently from a silent
+// one.
+TEST_CASE("errors show whether a peer has ended or was replaced")
+{
+    const auto problem_of = [](const tcp::endpoint& address) {
+        test_client peer(address);
+        return run(peer.client.send(
+                       address, "another", get("/"), far_deadline()))
+            .error()
+            .connecting;
+    };
+    tcp::acceptor unused(io(), any_port);
+    const auto address = unused.local_endpoint();
+    unused.close();
+    CHECK(problem_of(address) == fj::connect_problem::refused);
+    const test_server target(describe);
+    CHECK(problem_of(target.address) == fj::connect_problem::other_instance);
+}
+
 // Guards against a response that arrives after its request timed out and is
 // delivered to the next request on the same connection.
 TEST_CASE("a late response never reaches another request")
--- a/src/peer/server.cpp
+++ b/src/peer/server.cpp
@@ -92,6 +92,8 @@
 
 private:
     static awaitable<void> accept_loop(std::shared_ptr<impl> self);
+    awaitable<result<detail::peer_hello>>
+    shake_hands(detail::byte_stream& stream);
     static awaitable<void>
     serve(std::shared_ptr<impl> self, tcp::socket socket);
     static awaitable<void>
@@ -148,14 +150,26 @@
     }
 }
 
+/// Authenticates a peer. The handshake no longer counts afterwards, also if it
+/// throws.
+awaitable<result<detail::peer_hello>>
+peer_server::impl::shake_hands(detail::byte_stream& stream)
+{
+    struct count_guard
+    {
+        std::size_t& count;
+        ~count_guard() { --count; }
+    } const guard{handshakes_};
+    co_return co_await detail::authenticate(
+        stream, identity_, detail::peer_role::server,
+        limits_.handshake_timeout);
+}
+
 awaitable<void>
 peer_server::impl::serve(std::shared_ptr<impl> self, tcp::socket socket)
 {
     detail::byte_stream stream(std::move(socket), self->tls_);
-    auto peer = co_await detail::authenticate(
-        stream, self->identity_, detail::peer_role::server,
-        self->limits_.handshake_timeout);
-    --self->handshakes_;
+    const auto peer = co_await self->shake_hands(stream);
     if (!peer) {
         ++self->counters_->handshakes_failed;
         log(log_level::warning, "peer_handshake_failed",
