mesh: limits in seconds may have a fraction

Change: `stop_limit_s` and `retry_window_s` replace `stop_limit_ms` and `retry_window_ms`.

Evidence: the test with whole seconds only: mesh_test.cpp:280: FAILED: REQUIRE( read )

--- a/src/mesh/mesh_settings.cpp
+++ b/src/mesh/mesh_settings.cpp
@@ -53,6 +53,16 @@
         fields.integer(name, min_bound_ms, max_bound_ms, fallback.count()));
 }
 
+/// Reads a time in seconds, which may have a fraction.
+milliseconds
+read_seconds(field_reader& fields, std::string_view name, milliseconds fallback)
+{
+    const auto read = fields.number(
+        name, to_seconds(milliseconds(min_bound_ms)),
+        to_seconds(milliseconds(max_bound_ms)), to_seconds(fallback));
+    return std::chrono::duration_cast<milliseconds>(from_seconds(read));
+}
+
 } // namespace
 
 result<mesh_settings>
@@ -76,13 +86,13 @@
     settings.heartbeat_period =
         read_time(fields, "heartbeat_period_ms", settings.heartbeat_period);
     settings.stop_limit =
-        read_time(fields, "stop_limit_ms", settings.stop_limit);
+        read_seconds(fields, "stop_limit_s", settings.stop_limit);
     settings.retry_ratio =
         fields.number("retry_ratio", 0, max_retry_ratio, settings.retry_ratio);
     settings.retry_slack =
         fields.number("retry_slack", 0, max_retry_slack, settings.retry_slack);
     settings.retry_window =
-        read_time(fields, "retry_window_ms", settings.retry_window);
+        read_seconds(fields, "retry_window_s", settings.retry_window);
     settings.row_check_period =
         read_time(fields, "row_check_ms", settings.row_check_period);
     settings.log_lines = static_cast<unsigned>(fields.integer(
--- a/src/mesh/mesh_test.cpp
+++ b/src/mesh/mesh_test.cpp
@@ -267,6 +267,22 @@
     CHECK(monitor.state(start) == fj::backend_state::draining);
 }
 
+// Guards against a node that does not start since a limit of its platform is
+// not a whole number of seconds.
+TEST_CASE("limits in seconds may have a fraction")
+{
+    const std::string text = R"({"name": "n", "availability_zone": "z",
+"service": "s", "backend": "127.0.0.1:1", "store": "127.0.0.1:2",
+"callers": "127.0.0.1:3", "ready": "127.0.0.1:4", "heartbeats": "127.0.0.1:5",
+"peers": "127.0.0.1:6", "metrics": "127.0.0.1:7", )";
+    const auto read = fj::parse_mesh_settings(
+        text + R"("stop_limit_s": 2.5, "retry_window_s": 7.5000})", "file");
+    REQUIRE(read);
+    CHECK(read.value().stop_limit == milliseconds(2500));
+    CHECK(read.value().retry_window == milliseconds(7500));
+    CHECK_FALSE(fj::parse_mesh_settings(text + R"("stop_limit_s": 0})", "f"));
+}
+
 // Guards against store readers that query the store in step, so that all of
 // their answers are equally old when it fails.
 TEST_CASE("store readers query the store with different wait times")
