--- a/src/process/poison_request_test.cpp
+++ b/src/process/crashing_request_test.cpp
@@ -50,7 +50,7 @@
     for (int i = 0; i != attempts; ++i) {
         const auto& entry = *nodes[static_cast<std::size_t>(i) % 4];
         last = deployment.external_caller().send(
-            {entry.callers, "GET", "/notes/poison?crash=1", key});
+            {entry.callers, "GET", "/notes/crashing?crash=1", key});
         answer_log += std::to_string(last.status) + " " + last.field("reason") +
                       " after crashes: " + std::to_string(crashes.size()) +
                       "\n";
