mesh: an answer that has arrived by its deadline is passed on after it

Cause: an answer that was complete at the node in time waited for the one before it on its caller's connection, past its deadline. Reading it failed then, and the reset took all requests behind it along.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -121,6 +121,8 @@
         std::shared_ptr<message_reader> reader;
         std::shared_ptr<upload_state> upload;
         bool reusable = false;
+        /// Bytes of the body that were read after its deadline.
+        std::size_t late_bytes = 0;
         /// How long the server keeps the connection open while it is idle.
         milliseconds idle_time{};
 
@@ -398,6 +400,11 @@
 {
     auto received = co_await message_reader::read_body(
         current->reader, idle_timeout, output, deadline);
+    // More than had arrived at the deadline is a body that goes on.
+    if (received && clock::now() >= deadline)
+        current->late_bytes += received.value();
+    if (current->late_bytes > detail::max_buffered_input)
+        received = fail(errc::timeout, "http.response", {}, "deadline");
     if (!received && current->conn)
         current->conn->close();
     if (received && current->reader->is_done())
--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -72,12 +72,14 @@
     const auto until =
         std::min<time_point>(deadline, clock::now() + idle_timeout);
     for (;;) {
-        if (clock::now() >= deadline && !self->is_done())
-            co_return fail(errc::timeout, "read body", {}, "deadline");
+        // What has arrived is still passed on after the deadline: it may have
+        // waited for the answers before it on the caller's connection.
         bool needs_input = false;
         auto received = self->read_available(output, needs_input);
         if (!needs_input)
             co_return received;
+        if (clock::now() >= deadline)
+            co_return fail(errc::timeout, "read body", {}, "deadline");
         if (clock::now() >= until)
             co_return fail(errc::timeout, "read body", {}, "no progress");
         if (auto action = std::exchange(self->before_body, nullptr))
--- a/src/mesh/body_deadline_test.cpp
+++ b/src/mesh/body_deadline_test.cpp
@@ -45,6 +45,16 @@
     co_return answer.substr(0, answer.find("\r\n"));
 }
 
+fj::awaitable<std::string> read_to_end(tcp::socket& socket)
+{
+    std::string text;
+    boost::system::error_code ignored;
+    co_await asio::async_read(
+        socket, asio::dynamic_buffer(text),
+        asio::redirect_error(use_awaitable, ignored));
+    co_return text;
+}
+
 } // namespace
 
 // Guards against a caller that a body without end holds beyond the timeout of
@@ -68,6 +78,34 @@
     CHECK(endless.endless_reads <= reads + 10);
 }
 
+// Guards against an answer that is complete in time, waits behind another one
+// of its connection until after its deadline, and is cut there with all behind
+// it.
+TEST_CASE("an answer that waits behind another is whole after its deadline")
+{
+    auto& fleet = make_fleet();
+    fleet.rows->config.routes[1].timeout = route_timeout;
+    fleet.rows->config.routes.push_back(
+        test_fleet::make_route("slow", "/slow/", true));
+    fleet.rows->config.routes.back().targets = {{"shop", 1}};
+    fleet.publish();
+    fleet.instances[0]->service_time = 2 * route_timeout;
+    for (const std::size_t entry : {0, 1}) {
+        tcp::socket caller(io());
+        caller.connect(fleet.instances[entry]->settings.callers);
+        const std::string requests =
+            "GET /slow/1 HTTP/1.1\r\nhost: h\r\nid: first\r\n\r\n"
+            "GET /open/1 HTTP/1.1\r\nhost: h\r\nid: second\r\n"
+            "connection: close\r\n\r\n";
+        asio::write(caller, asio::buffer(requests));
+        const auto answers = run(read_to_end(caller));
+        CHECK(answers.find("\r\n\r\nn1") != std::string::npos);
+        const bool has_second =
+            answers.ends_with("\r\n\r\nn2") || answers.ends_with("\r\n\r\nn3");
+        CHECK(has_second);
+    }
+}
+
 // Guards against work that goes on for callers that have left while an answer
 // is silent, at the node beside the backend server and at another one.
 TEST_CASE("a caller that leaves during a silent answer is noticed")
--- a/src/peer/client.cpp
+++ b/src/peer/client.cpp
@@ -33,6 +33,8 @@
 {
     session_ptr session;
     stream_ptr stream;
+    /// Bytes of the body that were read after its deadline.
+    std::size_t late_bytes = 0;
 
     stream_guard(session_ptr owner, stream_ptr target)
         : session(std::move(owner)), stream(std::move(target))
@@ -47,8 +49,14 @@
 awaitable<result<std::size_t>> read_response_body(
     guard_ptr guard, asio::mutable_buffer output, time_point deadline)
 {
-    co_return co_await peer_session::read_body(
+    auto received = co_await peer_session::read_body(
         guard->session, guard->stream, output, deadline);
+    // More than had arrived at the deadline is a body that goes on.
+    if (received && clock::now() >= deadline)
+        guard->late_bytes += received.value();
+    if (guard->late_bytes > guard->session->limits().stream_window)
+        co_return fail(errc::timeout, "peer.body", guard->session->peer_name());
+    co_return received;
 }
 
 /// @param body_deadline for the last byte of the body
