mesh: a stopping node passes on answers that wait behind a slow one

Cause: answers go out in the order of their requests. One that waits behind an answer which takes longer than the stopping node has was lost with the process. Shown by the test.

Change: at 0.84 of the stop limit the node ends the requests that still run with an answer of its own (`stopping`, 502 if they may have run), so that the connection goes on to what is complete. These requests were cut at 0.87 before.

Evidence: the test without the change: planned_stop_test.cpp:144: FAILED: CHECK( answers.starts_with("HTTP/1.1 502") ) planned_stop_test.cpp:145: FAILED: CHECK( answers.find("HTTP/1.1 200") != npos )

Comments of body deadlines now say that what has arrived is still read.

--- a/include/fulmarjunction/core/error.hpp
+++ b/include/fulmarjunction/core/error.hpp
@@ -53,6 +53,7 @@
     std::string peer;
     /// Human-readable description.
     std::string detail;
+    /// Set for `connection_failed` where it is known.
     connect_problem connecting = connect_problem::unknown;
 };
 
--- a/include/fulmarjunction/http/http.hpp
+++ b/include/fulmarjunction/http/http.hpp
@@ -129,8 +129,9 @@
     ///         been processed, or the error of the request's body
     /// @param deadline for the head of the answer
     /// @param filter tells which answers belong to the request; may be empty
-    /// @param body_deadline for the last byte of the answer's body: reads fail
-    ///        with `errc::timeout` from then on
+    /// @param body_deadline for the answer's body. Later reads return what has
+    ///        arrived, up to the size of one buffer, and fail with
+    ///        `errc::timeout` where they would have to wait for more.
     awaitable<result<streamed_response>> send(
         streamed_request request, time_point deadline,
         answer_filter filter = nullptr,
--- a/include/fulmarjunction/mesh/caller_entry.hpp
+++ b/include/fulmarjunction/mesh/caller_entry.hpp
@@ -15,6 +15,8 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include <cstddef>
+#include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <variant>
@@ -52,6 +54,10 @@
     /// may end before they do.
     void begin_stop(time_point end) { stops_at_ = end; }
 
+    /// Ends the requests that still run with an answer of the node. Answers
+    /// that wait for theirs on a pipelined connection can then be passed on.
+    void break_off_requests();
+
     /// Returns the answer to input that is not a valid HTTP request.
     streamed_response refuse_malformed(int status);
 
@@ -73,6 +79,10 @@
     charge(account_plan plan, time_point deadline);
     awaitable<forward_result>
     serve(admitted request, http_request incoming, caller_claims claims);
+    outgoing_request make_outgoing(
+        const admitted& request, http_request& incoming, request_body body);
+    awaitable<forward_result>
+    forward(outgoing_request outgoing, cancel_event canceled);
     awaitable<result<request_body>> read_request_body(
         streamed_request& message, std::size_t limit, time_point deadline);
     static node_answer make_body_refusal(const error& problem);
@@ -87,6 +97,10 @@
     dependencies deps_;
     /// Time until which accepted requests must have ended.
     time_point stops_at_ = time_point::max();
+    /// Cancel the requests that are being forwarded, by a number of their own.
+    std::map<std::uint64_t, cancel_event> forwarded_;
+    std::uint64_t next_forwarded_ = 0;
+    bool is_breaking_off_ = false;
 };
 
 /// Returns the HTTP status that a caller receives for a node's own answer.
--- a/include/fulmarjunction/peer/peer.hpp
+++ b/include/fulmarjunction/peer/peer.hpp
@@ -135,8 +135,9 @@
     /// @param expected name that the peer must authenticate as; empty accepts
     ///        any name
     /// @param deadline for the head of the response
-    /// @param body_deadline for the last byte of the response's body: reads
-    ///        fail with `errc::timeout` from then on
+    /// @param body_deadline for the response's body. Later reads return what
+    ///        has arrived, up to the size of one window, and fail with
+    ///        `errc::timeout` where they would have to wait for more.
     /// @return `errc::connection_failed` when no byte of the request was
     ///         processed by the peer (no connection, a refused stream, or
     ///         GOAWAY with a last stream id below it, or a deadline that passed
--- a/src/http/message_reader.hpp
+++ b/src/http/message_reader.hpp
@@ -39,8 +39,7 @@
     message_head& head() { return head_; }
 
     /// Reads body bytes; `self` keeps the reader alive meanwhile.
-    /// @param deadline the body must have ended by then, whether or not bytes
-    ///        keep arriving
+    /// @param deadline after it only bytes that have arrived are returned
     static awaitable<result<std::size_t>> read_body(
         std::shared_ptr<message_reader> self, milliseconds idle_timeout,
         boost::asio::mutable_buffer output,
--- a/src/mesh/caller_entry.cpp
+++ b/src/mesh/caller_entry.cpp
@@ -254,20 +254,27 @@
         incoming.message, request.config->limits().max_body_bytes, deadline);
     if (!body)
         co_return make_body_refusal(body.error());
+    auto outgoing = make_outgoing(request, incoming, std::move(body.value()));
+    outgoing.context.request_id = std::move(claims.request_id);
+    outgoing.context.deadline = deadline;
+    outgoing.arrived_at = arrived_at;
+    co_return co_await forward(std::move(outgoing), canceled);
+}
+
+outgoing_request caller_entry::make_outgoing(
+    const admitted& request, http_request& incoming, request_body body)
+{
+    const auto& matched_route = *request.matched_route;
     outgoing_request outgoing;
-    const auto request_id = std::move(claims.request_id);
-    outgoing.context.request_id = request_id;
     outgoing.context.route_name = matched_route.name;
     outgoing.context.kind = matched_route.kind;
     outgoing.context.is_call = request.plan == nullptr;
     outgoing.context.priority = priority_of(request);
     outgoing.context.objective = matched_route.objective;
-    outgoing.context.deadline = deadline;
     outgoing.context.caller_service = deps_.own_service;
     if (request.plan != nullptr)
         outgoing.context.account = request.plan->name;
     outgoing.service = deps_.splits->choose(matched_route);
-    outgoing.arrived_at = arrived_at;
     if (outgoing.context.is_call)
         deps_.count_call(outgoing.service);
     outgoing.attempts = matched_route.attempts;
@@ -275,19 +282,45 @@
     outgoing.target = std::move(incoming.message.target);
     outgoing.headers = std::move(incoming.message.headers);
     outgoing.content_length = incoming.message.content_length;
-    outgoing.body = std::move(body.value());
+    outgoing.body = std::move(body);
     // The same content crashes a backend server whoever sends it, also after
     // the route has been renamed.
     const auto host = find_header(outgoing.headers, "host").value_or("");
     outgoing.context.print = fingerprint_of(
         {}, std::string(host), outgoing.target, outgoing.body.prefix);
+    return outgoing;
+}
+
+awaitable<forward_result>
+caller_entry::forward(outgoing_request outgoing, cancel_event canceled)
+{
+    struct registration
+    {
+        std::map<std::uint64_t, cancel_event>& all;
+        std::uint64_t number;
+        ~registration() { all.erase(number); }
+    } const registered{forwarded_, next_forwarded_++};
+    forwarded_.emplace(registered.number, canceled);
+    const auto request_id = outgoing.context.request_id;
     auto served = co_await deps_.request_forwarder->forward(
         std::move(outgoing), canceled);
     if (auto* answer = std::get_if<streamed_response>(&served))
         log_cut_answer(*answer, request_id, canceled);
+    else if (auto& refusal = std::get<node_answer>(served);
+             is_breaking_off_ && refusal.reason == node_refusal::canceled)
+        refusal.reason = node_refusal::stopping;
     co_return std::move(served);
 }
 
+void caller_entry::break_off_requests()
+{
+    is_breaking_off_ = true;
+    // A canceled request removes itself.
+    const auto running = forwarded_;
+    for (const auto& [number, canceled] : running)
+        canceled.cancel();
+}
+
 /// Logs when the body of an answer can't be passed on to its end. Its head has
 /// been logged as the answer.
 void caller_entry::log_cut_answer(
--- a/src/mesh/fleet_registration.cpp
+++ b/src/mesh/fleet_registration.cpp
@@ -94,10 +94,9 @@
             {{"error", to_string(rows.error())}});
         co_return;
     }
-    const auto self = deps_.reports->own_report().node;
     bool has_own_row = false;
     for (const auto& row : rows.value().nodes) {
-        if (row.node == self)
+        if (row.node == deps_.self)
             has_own_row = true;
         else if (!is_leaving_)
             deps_.row_found(row);
@@ -126,8 +125,8 @@
 
 awaitable<void> fleet_registration::remove_row()
 {
-    const auto removed = co_await deps_.store->remove_node(
-        deps_.reports->own_report().node, row_version_);
+    const auto removed =
+        co_await deps_.store->remove_node(deps_.self, row_version_);
     if (!removed) {
         log(log_level::warning, "row_not_removed",
             {{"error", to_string(removed.error())}});
--- a/src/mesh/fleet_registration.hpp
+++ b/src/mesh/fleet_registration.hpp
@@ -35,6 +35,7 @@
     {
         fleet_store* store = nullptr;
         fleet_reports* reports = nullptr;
+        instance_name self;
         /// Called with each row that a later read has found.
         std::function<void(const node_report& row)> row_found;
     };
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -131,6 +131,7 @@
     fleet_registration::dependencies registering;
     registering.store = adapter_.store.get();
     registering.reports = reports_.get();
+    registering.self = settings_.name;
     registering.row_found = [this](const node_report& row) {
         fleet_.recall(row, clock::now());
     };
--- a/src/mesh/mesh_node_stop.cpp
+++ b/src/mesh/mesh_node_stop.cpp
@@ -28,10 +28,12 @@
 /// deadline lies before its last answer. Those before have the rest of the
 /// limit, which is more than nearly all requests need.
 constexpr double last_start_fraction = 0.5;
-/// Fraction of the stop limit after which the node stops waiting for requests.
+/// Fraction of the stop limit after which the requests that still run are
+/// broken off. The rest serves to pass on what their callers' connections still
+/// wait for.
+constexpr double last_answer_fraction = 0.84;
+/// Fraction of the stop limit after which the node ends.
 constexpr double finish_fraction = 0.87;
-/// Time to pass on the last answers and to close the connections.
-constexpr milliseconds closing_time(200);
 
 } // namespace
 
@@ -70,7 +72,8 @@
         started_at + from_seconds(limit_s * last_start_fraction);
     const auto finish_deadline =
         started_at + from_seconds(limit_s * finish_fraction);
-    const auto last_answer_at = finish_deadline - closing_time;
+    const auto last_answer_at =
+        started_at + from_seconds(limit_s * last_answer_fraction);
     co_await wait_until(
         executor_,
         [this] { return monitor_.state(clock::now()) != backend_state::ready; },
@@ -93,6 +96,8 @@
     entry_->begin_stop(last_answer_at);
     co_await wait_until(executor_, is_gate_idle, last_answer_at);
     callers_->begin_shutdown();
+    co_await wait_until(executor_, is_finished, last_answer_at);
+    entry_->break_off_requests();
     co_await wait_until(executor_, is_finished, finish_deadline);
     log(log_level::info, "stopped",
         {{"seconds", to_seconds(clock::now() - started_at)},
--- a/src/mesh/planned_stop_test.cpp
+++ b/src/mesh/planned_stop_test.cpp
@@ -110,3 +110,37 @@
     CHECK(callers.served > 20);
     CHECK(callers.refused > 0);
 }
+
+// Guards against an answer that is lost since it waits on its connection for an
+// earlier one, which takes longer than the stopping node has.
+TEST_CASE("a stopping node passes on answers that wait behind a slow one")
+{
+    auto& fleet = make_fleet();
+    auto& routes = fleet.rows->config.routes;
+    routes.push_back(test_fleet::make_route("shop", "/shop/", true));
+    routes.back().targets = {{"shop", 1}};
+    fleet.publish();
+    fleet.instances[0]->service_time =
+        std::chrono::duration_cast<milliseconds>(hang_limit);
+    auto& stopping = *fleet.instances[1];
+    tcp::socket caller(io());
+    caller.connect(stopping.settings.callers);
+    const std::string requests =
+        "GET /shop/1 HTTP/1.1\r\nhost: h\r\nid: slow\r\n\r\n"
+        "GET /open/1 HTTP/1.1\r\nhost: h\r\nid: quick\r\n\r\n";
+    asio::write(caller, asio::buffer(requests));
+    run_until([&] {
+        return fleet.instances[1]->runs + fleet.instances[2]->runs > 0;
+    });
+    bool has_stopped = false;
+    std::size_t received = 0;
+    stopping.process->stop([&] {
+        has_stopped = true;
+        received = caller.available();
+    });
+    run_until([&] { return has_stopped; });
+    std::string answers(received, '\0');
+    asio::read(caller, asio::buffer(answers));
+    CHECK(answers.starts_with("HTTP/1.1 502"));
+    CHECK(answers.find("HTTP/1.1 200") != std::string::npos);
+}
--- a/src/peer/session.hpp
+++ b/src/peer/session.hpp
@@ -113,8 +113,7 @@
         time_point deadline);
 
     /// Reads body bytes and extends the peer's flow control window by as much.
-    /// @param deadline the body must have ended by then, whether or not bytes
-    ///        keep arriving
+    /// @param deadline after it only bytes that have arrived are returned
     static awaitable<result<std::size_t>> read_body(
         std::shared_ptr<peer_session> self, stream_ptr source,
         boost::asio::mutable_buffer output,
