--- a/review/standins-2/standins.h
+++ b/review/standins-2/standins.h
@@ -817,6 +817,10 @@
     /// Called for each request that the server begins to run.
     std::function<void(const message&)> on_run;
 
+    /// Returns how long the server works between the head of its answer and the
+    /// body, in milliseconds.
+    std::function<long long(const message&)> body_delay;
+
     /// Returns whether the server crashes when it begins to run the request.
     std::function<bool(const message&)> crashes_on;
 
@@ -891,11 +895,26 @@
             if (!found)
                 return;
             const auto text = answer(*found);
-            if (text.empty() || !stream.send(text))
+            if (text.empty() || !send_answer(stream, *found, text))
                 return;
         }
     }
 
+    /// Sends the head of an answer and, after `body_delay`, its body.
+    bool send_answer(
+        socket_stream& stream, const message& found, const std::string& text)
+    {
+        if (!body_delay)
+            return stream.send(text);
+        const auto head_size = text.find("\r\n\r\n") + 4;
+        if (!stream.send(text.substr(0, head_size)))
+            return false;
+        const auto until = now_ms() + body_delay(found);
+        while (now_ms() < until && !is_over_)
+            sleep_ms(5);
+        return stream.send(text.substr(head_size));
+    }
+
     std::string answer(const message& found)
     {
         const auto id = found.header("x-attempt-id");
