--- a/review/8/run.sh
+++ b/review/6/run.sh
@@ -5,4 +5,4 @@
 
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
-target/review-2/crashing_request review/8 "$folder"
+target/review-2/crashing_request review/6 "$folder"
