--- a/review/standins-2/crashing_request.cc
+++ b/review/standins-2/crashing_request.cc
@@ -82,11 +82,11 @@
             1'000'000 + now_ms(), 100});
         server_->crashes_on = is_crashing;
         server_->on_run = [name = id()](const message& found) {
-            if (!is_crashing(found))
-                return;
             record.write(
                 "backend server " + name + " runs " +
-                found.header("x-attempt-id") + " of the callers of front");
+                found.header("x-attempt-id"));
+            if (!is_crashing(found))
+                return;
             const std::lock_guard guard(history_mutex);
             reached_at.push_back(now_ms());
         };
@@ -99,15 +99,17 @@
     std::unique_ptr<backend_server> server_;
 };
 
-std::string send_and_count(caller& from, const request& asked)
+/// Sends a request, records it and counts its answer.
+void send_and_count(caller& from, const request& asked)
 {
+    record.write("request " + asked.id + " is sent");
     const auto answer = from.send(asked);
-    auto status =
+    const auto status =
         answer ? std::to_string(answer->status()) : std::string("no answer");
+    record.write("request " + asked.id + " gets " + status);
     const auto kind = asked.id.substr(0, asked.id.find('-'));
     const std::lock_guard guard(history_mutex);
     ++answer_counts[kind + ": " + status];
-    return status;
 }
 
 /// Sends requests that crash nothing, from the machine of a node.
@@ -147,9 +149,7 @@
         asked.key = "key-1";
         asked.id = "crashing-" + std::to_string(sent);
         asked.deadline_ms = 2000;
-        record.write("request " + asked.id + " is sent");
-        const auto status = send_and_count(connection, asked);
-        record.write("request " + asked.id + " gets " + status);
+        send_and_count(connection, asked);
         for (int i = 0; i < 100 && !is_over; ++i)
             sleep_ms(resend_ms / 100);
     }
--- a/review/standins-2/standins.h
+++ b/review/standins-2/standins.h
@@ -871,8 +871,8 @@
 
     std::atomic<bool> is_draining = false;
     std::atomic<bool> is_leaving = false;
-    /// Whether the server has met a request that crashes it. The test then
-    /// stops the server, which resets its connections.
+    /// Whether the server has met a request that crashes it. From then on it
+    /// does nothing, until the test stops it, which resets its connections.
     std::atomic<bool> has_crashed = false;
     std::atomic<int> runs = 0;
 
@@ -880,7 +880,7 @@
     void beat_loop()
     {
         while (!is_over_) {
-            if (!is_leaving)
+            if (!is_leaving && !has_crashed)
                 post("heartbeat", make_heartbeat());
             for (int i = 0; i < 75 && !is_over_; ++i)
                 sleep_ms(20);
@@ -895,6 +895,8 @@
             if (!found)
                 return;
             const auto text = answer(*found);
+            while (has_crashed && !is_over_)
+                sleep_ms(1);
             if (text.empty() || !send_answer(stream, *found, text))
                 return;
         }
@@ -938,8 +940,7 @@
             on_run(found);
         if (crashes_on && crashes_on(found)) {
             has_crashed = true;
-            while (!is_over_)
-                sleep_ms(1);
+            return {};
         }
         for (int i = 0; i < options_.work_ms && !is_over_; i += 5)
             sleep_ms(5);
