http: a reset during an upload does not complete an answer

Callers saw: a backend server answered an upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still sent.

Cause: the kernel reports a reset once, to whichever call comes first. Where that is a write of the upload, the next read of the answer returns an ordinary end of file, and an answer without a length ends there. The error of the write was known to the connection only in a later turn of the event loop.

Change: byte_stream writes to the socket itself and waits only where it would block, so that it knows the error when the kernel reports it. A read that finds an end of file after such an error fails with that error. A write that fails with EPIPE says nothing of the kind: the kernel has that error only after the peer's own end, which still completes an answer. Under TLS an end without close_notify is no clean end any more; no answer is read over TLS today.

A test is corrected: the handler of "a body that fails at its source is not taken for a complete one" refers to variables of the test, which did not wait for it. The test waits for all handlers now, so it also fails if one of them is never told of the failed body.

--- /dev/null
+++ b/src/http/broken_answer_test.cpp
@@ -0,0 +1,152 @@
+// Tests of answers that are broken: ended by a reset, or with a head that is
+// not valid.
+
+#include <http/http_test_support.hpp>
+
+#include <http/connection.hpp>
+
+#include <boost/asio/ssl/stream.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <string>
+#include <utility>
+
+using namespace fulmarjunction::test;
+using namespace std::string_literals;
+
+namespace {
+
+/// Body of an upload that arrives on a socket, like that of a caller's request.
+class socket_body
+{
+public:
+    socket_body() : sender_(io()), receiver_(io())
+    {
+        tcp::acceptor acceptor(io(), any_port);
+        sender_.connect(acceptor.local_endpoint());
+        receiver_ = acceptor.accept();
+    }
+
+    void send(const std::string& piece)
+    {
+        asio::write(sender_, asio::buffer(piece));
+    }
+
+    static fj::awaitable<fj::result<std::size_t>>
+    read(std::shared_ptr<socket_body> self, asio::mutable_buffer output)
+    {
+        co_return co_await self->receiver_.async_read_some(
+            output, use_awaitable);
+    }
+
+private:
+    tcp::socket sender_;
+    tcp::socket receiver_;
+};
+
+/// How the server ends a connection whose upload it has not read.
+enum class connection_end
+{
+    reset,
+    close_then_reset
+};
+
+void end_connection(tcp::socket& socket, connection_end how)
+{
+    if (how == connection_end::close_then_reset)
+        socket.shutdown(tcp::socket::shutdown_send);
+    socket.set_option(asio::socket_base::linger(true, 0));
+    socket.close();
+}
+
+/// Uploads to a server that answers at once, without a length, and ends the
+/// connection in the turn of the event loop in which the next piece of the
+/// upload arrives.
+/// @return the body of the answer, or the name of its error
+std::string upload_to_ending_server(connection_end how)
+{
+    tcp::acceptor acceptor(io(), any_port);
+    fj::http_client client(
+        io().get_executor(), acceptor.local_endpoint(), long_timeout_limits(),
+        hang_limit);
+    const auto upload = std::make_shared<socket_body>();
+    auto request = post("", std::nullopt);
+    request.body = [upload](asio::mutable_buffer output) {
+        return socket_body::read(upload, output);
+    };
+    const auto answer = start(client.send(std::move(request), far_deadline()));
+    auto server = run(acceptor.async_accept(use_awaitable));
+    asio::write(server, asio::buffer("HTTP/1.1 200 OK\r\n\r\npart"s));
+    run_until([&] { return answer->has_value(); });
+    REQUIRE(answer->value());
+    const auto body = start(fj::read_body(answer->value().value().body, 100));
+    // Now the client waits for both the upload and the rest of the answer.
+    io().restart();
+    io().poll();
+    upload->send("more");
+    end_connection(server, how);
+    run_until([&] { return body->has_value(); });
+    if (body->value())
+        return body->value().value();
+    return std::string(to_string(body->value().error().code));
+}
+
+} // namespace
+
+// Guards against a part of an answer that looks complete: the kernel reports a
+// reset once, to the write of the upload, and the read of the answer gets an
+// ordinary end of file.
+TEST_CASE("a reset during an upload does not complete an answer")
+{
+    for (int round = 0; round < 20; ++round)
+        CHECK(upload_to_ending_server(connection_end::reset) == "truncated");
+}
+
+// Guards against a complete answer that is dropped because the server does not
+// take the rest of the upload.
+TEST_CASE("an answer that ends before a reset is complete")
+{
+    for (int round = 0; round < 20; ++round) {
+        CHECK(
+            upload_to_ending_server(connection_end::close_then_reset) ==
+            "part");
+    }
+}
+
+// Guards against a part of a message that looks complete under TLS, where
+// anyone on the way can end a connection but only the peer can announce the
+// end.
+TEST_CASE("a TLS connection without close_notify has no clean end")
+{
+    const auto tls = make_tls_context();
+    for (const bool announces_end : {true, false}) {
+        tcp::acceptor acceptor(io(), any_port);
+        asio::ssl::context context(asio::ssl::context::tls_client);
+        asio::ssl::stream<tcp::socket> sender(io(), context);
+        sender.lowest_layer().connect(acceptor.local_endpoint());
+        auto link = std::make_shared<fj::detail::connection>(
+            fj::detail::byte_stream(acceptor.accept(), tls), 1024);
+        const auto accepted =
+            start(link->stream().handshake(asio::ssl::stream_base::server));
+        const auto send = [&]() -> fj::awaitable<bool> {
+            boost::system::error_code failure;
+            co_await sender.async_handshake(
+                asio::ssl::stream_base::client, use_awaitable);
+            if (announces_end) {
+                co_await sender.async_shutdown(
+                    asio::redirect_error(use_awaitable, failure));
+            }
+            sender.lowest_layer().close();
+            co_return true;
+        };
+        const auto sent = start(send());
+        run_until([&] { return accepted->has_value(); });
+        link->start();
+        run_until([&] { return link->has_ended(); });
+        CHECK(link->has_clean_end() == announces_end);
+        link->close();
+        run_until([&] { return sent->has_value(); });
+    }
+}
--- a/src/http/byte_stream.cpp
+++ b/src/http/byte_stream.cpp
@@ -1,5 +1,6 @@
 #include <http/byte_stream.hpp>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -71,21 +72,47 @@
             outcome.failure);
         outcome.bytes = std::string_view(shared_read_buffer.data(), size);
         if (outcome.failure != asio::error::would_block)
-            co_return outcome;
+            break;
     }
+    if (outcome.failure == asio::error::eof && has_lost_input())
+        outcome.failure = write_error_;
+    co_return outcome;
 }
 
 asio::awaitable<io_result> byte_stream::write_some(asio::const_buffer buffer)
 {
     io_result outcome;
     auto token = asio::redirect_error(asio::use_awaitable, outcome.failure);
-    if (tls_stream_)
+    if (tls_stream_) {
         outcome.size = co_await tls_stream_->async_write_some(buffer, token);
-    else
-        outcome.size = co_await socket_->async_write_some(buffer, token);
+        co_return outcome;
+    }
+    // An asynchronous write would report its error after reads that are ready
+    // already, and these depend on it.
+    for (;;) {
+        outcome.size = socket_->write_some(buffer, outcome.failure);
+        if (outcome.failure != asio::error::would_block)
+            break;
+        co_await socket_->async_wait(tcp::socket::wait_write, token);
+        if (outcome.failure)
+            co_return outcome;
+    }
+    if (outcome.failure) {
+        if (!write_error_)
+            write_error_ = outcome.failure;
+        // Reads that are ready get what has arrived before the caller closes
+        // the stream.
+        co_await asio::post(socket_->get_executor(), asio::use_awaitable);
+    }
     co_return outcome;
 }
 
+bool byte_stream::has_lost_input() const
+{
+    // After an end of the peer's output, writes fail with `broken_pipe`.
+    return write_error_ && write_error_ != asio::error::broken_pipe;
+}
+
 asio::awaitable<void> byte_stream::shutdown_send()
 {
     boost::system::error_code ignored;
--- a/src/http/byte_stream.hpp
+++ b/src/http/byte_stream.hpp
@@ -46,6 +46,7 @@
 
     /// Waits for bytes and reads at most `max_size`. Waiting connections hold
     /// no buffer: plain TCP reads into one shared by the thread's connections.
+    /// The failure is `eof` only if the peer has ended its output itself.
     boost::asio::awaitable<read_result> read_some(std::size_t max_size);
     boost::asio::awaitable<io_result>
     write_some(boost::asio::const_buffer buffer);
@@ -67,6 +68,10 @@
     boost::asio::ip::tcp::socket& socket() { return *socket_; }
 
 private:
+    /// Whether a write has reported that the connection was reset. The kernel
+    /// reports that only once; reads then find an end of file.
+    bool has_lost_input() const;
+
     using tls_stream = boost::asio::ssl::stream<boost::asio::ip::tcp::socket&>;
 
     std::shared_ptr<boost::asio::ssl::context> tls_;
@@ -75,6 +80,8 @@
     /// Read buffer for TLS, whose library may write to it while the coroutine
     /// is suspended, so the shared buffer cannot be used.
     std::string tls_read_buffer_;
+    /// Error of the first write that failed.
+    boost::system::error_code write_error_;
 };
 
 } // namespace fulmarjunction::detail
--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -2,7 +2,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/ssl/error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -87,9 +86,8 @@
         if (!received.bytes.empty())
             append(received.bytes);
         if (received.failure) {
-            end_input(
-                received.failure == asio::error::eof ||
-                received.failure == asio::ssl::error::stream_truncated);
+            // Under TLS, an end without close_notify is `stream_truncated`.
+            end_input(received.failure == asio::error::eof);
             co_return;
         }
     }
--- a/src/peer/peer_test.cpp
+++ b/src/peer/peer_test.cpp
@@ -700,11 +700,13 @@
 TEST_CASE("a body that fails at its source is not taken for a complete one")
 {
     std::string body_result;
+    int finished = 0;
     test_server target(
         [&](fj::peer_request request) -> fj::awaitable<fj::streamed_response> {
             auto body = co_await fj::read_body(request.message.body, 100);
             body_result =
                 body ? "whole" : std::string(to_string(body.error().code));
+            ++finished;
             co_return fj::streamed_response{
                 200, {}, std::nullopt, failing_body()};
         });
@@ -720,6 +722,8 @@
     // Bodies whose size differs from their declared length fail as well.
     CHECK(peer.fetch_now(post("short", 10)) == "truncated");
     CHECK(peer.fetch_now(post("long", 2)) == "malformed");
+    // The handlers refer to the variables of the test.
+    run_until([&] { return finished == target.calls; });
 }
 
 // Guards against a planned stop that breaks open requests or that processes
