http, peer: an answer with a status below 100 is malformed

Callers saw: an answer with the status 000 was taken for an interim one. The client then read its body as the next answer: a body that looks like an answer was passed on as one, with the status and the fields that it names. Without such a body the request waited for its deadline (504), and on a link between nodes likewise.

Cause: every status below 200 counted as interim. The status line was only checked for three digits.

Change: head.hpp tells interim, final and valid statuses. The check of the status line, the client, the peer session and what both sides send use it in place of four constants of their own. A status below 100 is malformed, so that callers get 502; on a link its stream is reset. Statuses of 600 to 999 still pass, and count as errors of the backend server as before.

--- a/src/http/broken_answer_test.cpp
+++ b/src/http/broken_answer_test.cpp
@@ -3,21 +3,28 @@
 
 #include <http/http_test_support.hpp>
 
+#include <fulmarjunction/core/log.hpp>
+
 #include <http/connection.hpp>
 
 #include <boost/asio/ssl/stream.hpp>
 
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 using namespace fulmarjunction::test;
 using namespace std::string_literals;
 
 namespace {
 
+/// Longer than a client takes to refuse an answer that it does not wait for.
+constexpr fj::milliseconds wait_limit(10'000);
+
 /// Body of an upload that arrives on a socket, like that of a caller's request.
 class socket_body
 {
@@ -115,6 +122,34 @@
     }
 }
 
+// Guards against an answer with an invalid status: taken for an interim one,
+// its body would be read as the next answer.
+TEST_CASE("an answer with a status below 100 is malformed")
+{
+    const auto forged = "HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nforged"s;
+    for (const auto* status : {"000", "001", "099"}) {
+        INFO(status);
+        const auto start_line = fmt::format("HTTP/1.1 {} Trouble\r\n", status);
+        const std::vector<std::string> answers = {
+            start_line + "content-length: 0\r\n\r\n",
+            start_line + "\r\n",
+            start_line +
+                fmt::format("content-length: {}\r\n\r\n", forged.size()) +
+                forged,
+            start_line + "\r\n" + forged,
+        };
+        for (const auto& answer : answers) {
+            INFO(fj::log_quote(answer));
+            scripted_server server(answer, false);
+            fj::http_client client(
+                io().get_executor(), server.address, long_timeout_limits(),
+                hang_limit);
+            const auto deadline = fj::clock::now() + wait_limit;
+            CHECK(run(fetch(client, get("/"), deadline)) == "malformed");
+        }
+    }
+}
+
 // Guards against a part of a message that looks complete under TLS, where
 // anyone on the way can end a connection but only the peer can announce the
 // end.
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,6 +1,7 @@
 #include <fulmarjunction/http/http.hpp>
 
 #include <http/body_writer.hpp>
+#include <http/head.hpp>
 #include <http/message_reader.hpp>
 
 #include <boost/asio/bind_cancellation_slot.hpp>
@@ -29,7 +30,6 @@
 namespace {
 
 constexpr int status_switching_protocols = 101;
-constexpr int min_final_status = 200;
 
 /// An idle connection is reused only for the server's idle timeout divided by
 /// this, so that the server rarely closes a connection while a request is in
@@ -338,7 +338,7 @@
         case head_outcome::parsed:
             if (status == status_switching_protocols)
                 co_return fail(errc::malformed, "http.response", name_);
-            if (status >= min_final_status) {
+            if (detail::is_final_status(status)) {
                 if (!filter || filter(current.reader->head().headers))
                     co_return boost::outcome_v2::success();
                 const bool may_follow = co_await skip_body(current, deadline);
--- a/src/http/head.cpp
+++ b/src/http/head.cpp
@@ -7,11 +7,16 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <charconv>
 
 namespace fulmarjunction::detail {
 
 namespace {
 
+constexpr int min_interim_status = 100;
+constexpr int min_final_status = 200;
+constexpr int max_status = 999;
+
 /// 10^18 - 1 fits into 63 bits, so no sum of lengths overflows.
 constexpr std::size_t max_length_digits = 18;
 
@@ -94,7 +99,12 @@
         line[code_at - 1] != ' ')
         return false;
     const auto is_digit = [](char c) { return c >= '0' && c <= '9'; };
-    return all_of(line.substr(code_at, code_end - code_at), is_digit) &&
+    const auto code = line.substr(code_at, code_end - code_at);
+    if (!all_of(code, is_digit))
+        return false;
+    int status = 0;
+    std::from_chars(code.data(), code.data() + code.size(), status);
+    return is_valid_status(status) &&
            (line.size() == code_end || line[code_end] == ' ') &&
            all_of(line.substr(code_end), is_value_char);
 }
@@ -185,6 +195,21 @@
 
 } // namespace
 
+bool is_interim_status(int status)
+{
+    return status >= min_interim_status && status < min_final_status;
+}
+
+bool is_final_status(int status)
+{
+    return status >= min_final_status && status <= max_status;
+}
+
+bool is_valid_status(int status)
+{
+    return is_interim_status(status) || is_final_status(status);
+}
+
 bool is_token(std::string_view text)
 {
     return !text.empty() && all_of(text, is_token_char);
@@ -266,9 +291,7 @@
 std::optional<std::string> format_response_head(
     const streamed_response& response, body_framing framing, bool keep_alive)
 {
-    constexpr int min_final_status = 200;
-    constexpr int max_status = 999;
-    if (response.status < min_final_status || response.status > max_status)
+    if (!is_final_status(response.status))
         return std::nullopt;
     const auto reason =
         boost::beast::http::obsolete_reason(boost::beast::http::int_to_status(
--- a/src/http/head.hpp
+++ b/src/http/head.hpp
@@ -37,11 +37,23 @@
 /// follows: any head that two parsers could frame differently is malformed
 /// (bare CR or LF, folded fields, space before the colon, more than one
 /// Content-Length or Transfer-Encoding, both of them, other codings than
-/// chunked, a request without exactly one Host field).
+/// chunked, a request without exactly one Host field, an answer without a valid
+/// status).
 /// @param limit maximum size of the head in bytes
 head_check
 check_head(std::string_view bytes, std::size_t limit, message_kind kind);
 
+/// Whether an answer with this status is followed by another answer to the same
+/// request (100 to 199).
+bool is_interim_status(int status);
+
+/// Whether an answer with this status is the last one to its request (200 to
+/// 999).
+bool is_final_status(int status);
+
+/// Whether an answer may have this status, as an interim or a final one.
+bool is_valid_status(int status);
+
 /// Whether `text` is a token by RFC 9110, such as a method or a field name.
 bool is_token(std::string_view text);
 
--- a/src/mesh/broken_answer_test.cpp
+++ b/src/mesh/broken_answer_test.cpp
@@ -160,3 +160,21 @@
         CHECK(broken.backend->requests() > 0);
     }
 }
+
+// Guards against a caller that gets an answer without a status, or the body of
+// such an answer as an answer of its own.
+TEST_CASE("an answer with the status 000 is not passed on")
+{
+    const auto forged = "HTTP/1.1 200 OK\r\nid: ID\r\nseal: s\r\n"
+                        "content-length: 6\r\n\r\nforged"s;
+    for (const auto& answer :
+         {"HTTP/1.1 000 Trouble\r\nid: ID\r\ncontent-length: 0\r\n\r\n"s,
+          "HTTP/1.1 000 Trouble\r\nid: ID\r\n\r\n"s + forged}) {
+        raw_fleet broken(answer, false);
+        for (const auto entry : entries) {
+            const auto received = broken.fleet.send("/open/1", "", entry);
+            CHECK(received.status == 502);
+            CHECK(received.body.empty());
+        }
+    }
+}
--- a/src/peer/session.cpp
+++ b/src/peer/session.cpp
@@ -2,6 +2,7 @@
 
 #include <fulmarjunction/core/log.hpp>
 
+#include <http/head.hpp>
 #include <peer/field_list.hpp>
 #include <peer/session_callbacks.hpp>
 
@@ -33,9 +34,6 @@
 /// Maximum wait for the peer to close the connection after the last stream.
 constexpr milliseconds close_timeout{1000};
 
-constexpr int min_final_status = 200;
-constexpr int max_status = 999;
-
 std::string_view as_text(const std::uint8_t* bytes, std::size_t size)
 {
     return {reinterpret_cast<const char*>(bytes), size};
@@ -331,7 +329,7 @@
     const auto length = std::to_string(response.content_length.value_or(0));
     field_list fields;
     fields.add(":status", status);
-    if (response.status < min_final_status || response.status > max_status ||
+    if (!is_final_status(response.status) ||
         !fields.add_headers(response.headers))
         return fail(errc::invalid_argument, "peer.respond", peer_name_);
     if (response.content_length && response.status != no_content)
--- a/src/peer/session_callbacks.cpp
+++ b/src/peer/session_callbacks.cpp
@@ -1,5 +1,6 @@
 #include <peer/session_callbacks.hpp>
 
+#include <http/head.hpp>
 #include <peer/field_list.hpp>
 
 #include <algorithm>
@@ -20,8 +21,6 @@
 /// own window, so this only needs to cover the bytes in flight.
 constexpr std::int32_t connection_window = 8 * 1024 * 1024;
 
-constexpr int min_final_status = 200;
-
 std::string_view as_text(const std::uint8_t* bytes, std::size_t size)
 {
     return {reinterpret_cast<const char*>(bytes), size};
@@ -170,15 +169,15 @@
         stream->status = static_cast<int>(parse_number(value).value_or(0));
     else if (!name.starts_with(':'))
         stream->headers.push_back({std::string(name), value});
+    if (name == ":status" && !is_valid_status(stream->status))
+        return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
     return 0;
 }
 
 void session_callbacks::complete_head(
     peer_session& owner, const stream_ptr& stream)
 {
-    const bool is_interim = owner.side_ == session_side::client &&
-                            stream->status < min_final_status;
-    if (is_interim) {
+    if (is_interim_status(stream->status)) {
         stream->headers.clear();
         return;
     }
