Tests: answers with a blank or a control byte in the name of a field

Seen on other systems: an answer in whose head the name of a field holds a blank or a control byte is passed on, with that line or with a body that is not the backend server's.

The check of heads, interim ones included, refuses every name that is no token, also those of content-length and transfer-encoding, and callers get 502 at both nodes. The trailers of a chunked answer are checked by Beast's parser, as strictly, and are not passed on. On a link nghttp2 resets the stream; so it does for invalid values.

--- a/src/http/broken_answer_test.cpp
+++ b/src/http/broken_answer_test.cpp
@@ -150,6 +150,70 @@
     }
 }
 
+// Guards against a field that is passed on with an invalid name, and against
+// one that frames the body for one parser but not for another.
+TEST_CASE("an answer whose field name has a blank or control byte is malformed")
+{
+    const std::vector<std::string> lines = {
+        "se al: s",
+        "seal : s",
+        "seal\t: s",
+        " seal: s",
+        "\tseal: s",
+        "se\001al: s",
+        "seal\x7f: s",
+        "se\0al: s"s,
+        "se\ral: s",
+        "se\nal: s",
+        "se\240al: s",
+        "\x0bseal: s",
+        ": s",
+        "seal",
+        "content-length : 0",
+        "content-length\x0c: 0",
+        "content length: 0",
+        "transfer-encoding : chunked",
+        "transfer-encoding\x01: chunked",
+    };
+    const auto body = "content-length: 4\r\n\r\nbody"s;
+    for (const auto& line : lines) {
+        INFO(fj::log_quote(line));
+        const std::vector<std::string> answers = {
+            "HTTP/1.1 200 OK\r\n" + line + "\r\n" + body,
+            "HTTP/1.1 200 OK\r\nid: 1\r\n" + line + "\r\n" + body,
+            "HTTP/1.1 500 Trouble\r\n" + line + "\r\n\r\nbody",
+            // An interim answer is checked as well.
+            "HTTP/1.1 103 Hints\r\n" + line + "\r\n\r\nHTTP/1.1 200 OK\r\n" +
+                body,
+        };
+        for (const auto& answer : answers) {
+            scripted_server server(answer, true);
+            fj::http_client client(
+                io().get_executor(), server.address, long_timeout_limits(),
+                hang_limit);
+            CHECK(fetch_now(client, get("/")) == "malformed");
+        }
+    }
+}
+
+// Guards against trailers that are checked less strictly than the head.
+TEST_CASE("an answer whose trailer has an invalid name is malformed")
+{
+    const auto whole_body = "HTTP/1.1 200 OK\r\n"
+                            "transfer-encoding: chunked\r\n\r\n"
+                            "4\r\nbody\r\n0\r\n"s;
+    for (const auto& line :
+         {"se al: s"s, "seal : s"s, "seal\t: s"s, " seal: s"s, "se\001al: s"s,
+          "seal\x7f: s"s, "se\0al: s"s, ": s"s, "seal"s, "a: b\x01"s}) {
+        INFO(fj::log_quote(line));
+        scripted_server server(whole_body + line + "\r\n\r\n", true);
+        fj::http_client client(
+            io().get_executor(), server.address, long_timeout_limits(),
+            hang_limit);
+        CHECK(fetch_now(client, get("/")) == "body malformed");
+    }
+}
+
 // Guards against a part of a message that looks complete under TLS, where
 // anyone on the way can end a connection but only the peer can announce the
 // end.
--- a/src/mesh/broken_answer_test.cpp
+++ b/src/mesh/broken_answer_test.cpp
@@ -178,3 +178,23 @@
         }
     }
 }
+
+// Guards against a caller that gets an answer whose head other parsers read in
+// another way, with the line that makes the difference or with another body.
+TEST_CASE("an answer whose field name has a blank or control byte is refused")
+{
+    for (const auto& line :
+         {"se al: s"s, "seal : s"s, "se\001al: s"s, "se\0al: s"s,
+          "content-length : 0"s, "content-length\x0b: 0"s,
+          "transfer-encoding : chunked"s}) {
+        raw_fleet broken(
+            "HTTP/1.1 200 OK\r\nid: ID\r\nseal: s\r\n" + line +
+                "\r\ncontent-length: 4\r\n\r\nbody",
+            false);
+        for (const auto entry : entries) {
+            const auto received = broken.fleet.send("/open/1", "", entry);
+            CHECK(received.status == 502);
+            CHECK(received.body.empty());
+        }
+    }
+}
--- a/src/peer/broken_answer_test.cpp
+++ b/src/peer/broken_answer_test.cpp
@@ -225,3 +225,23 @@
         }
     }
 }
+
+// Guards against an answer that is passed on without the field that is not
+// valid.
+TEST_CASE("an answer with an invalid field fails its request on a link")
+{
+    const std::vector<std::pair<std::string, std::string>> fields = {
+        {"se al", "s"},    {"seal ", "s"},    {" seal", "s"},
+        {"se\001al", "s"}, {"se\0al"s, "s"},  {"Seal", "s"},
+        {"", "s"},         {"seal", "a\x01"}, {"seal", "a\r\nb: c"}};
+    for (const auto& [name, value] : fields) {
+        const auto answer = make_head(
+            make_field(":status", "200") + make_field(name, value), true);
+        CHECK(
+            fetch_from_raw_node(answer, link_end::stays_open, get("/")) ==
+            "connection_broken");
+    }
+    const auto valid =
+        make_head(make_field(":status", "200") + make_field("seal", "s"), true);
+    CHECK(fetch_from_raw_node(valid, link_end::stays_open, get("/")) == "200 ");
+}
