mesh: a health answer that is cut off does not count

Callers saw: a node that starts asked its backend server for its health. The answer broke off in its body, and the backend server got requests all the same; in the test the caller gets 502 from a request that need not have been sent.

Cause: the head of the answer was used whether its body came to its end or not.

Change: the answer counts when its body has been read to the end, as the answers of the store and of control messages do.

Evidence: the test on the code before, five of five runs: mesh/broken_answer_test.cpp:223: FAILED: CHECK( received.status == 503 ) with expansion: 502 (0x1f6) == 503 (0x1f7) mesh/broken_answer_test.cpp:224: FAILED: CHECK( backend->requests() == 1 ) with expansion: 2 == 1 With the change it passes in five of five, and so does "a node that starts queries the health of its backend server".

--- a/include/fulmarjunction/mesh/gate_service.hpp
+++ b/include/fulmarjunction/mesh/gate_service.hpp
@@ -65,8 +65,8 @@
 
     /// Sends a health check to the backend server.
     /// @param path path of its health endpoint
-    /// @return nothing when it does not answer, is unhealthy, or leaves out
-    ///         required fields
+    /// @return nothing when it does not answer in full, is unhealthy, or leaves
+    ///         out required fields
     awaitable<std::optional<backend_health>> query_health(std::string path);
 
     gate_load load() const;
--- a/src/mesh/broken_answer_test.cpp
+++ b/src/mesh/broken_answer_test.cpp
@@ -198,3 +198,28 @@
         }
     }
 }
+
+// Guards against a backend server that gets requests although its answer to the
+// health check was cut off.
+TEST_CASE("a health answer that is cut off does not count")
+{
+    auto& fleet = make_fleet();
+    fleet.rows->config.health_paths["films"] = "/health";
+    fleet.rows->config.routes.push_back(
+        test_fleet::make_route("films", "/films/", true));
+    fleet.rows->config.routes.back().targets = {{"films", 1}};
+    fleet.publish();
+    fleet.instances.push_back(std::make_unique<test_instance>(
+        fleet.rows, "n4", "films", milliseconds(60'000)));
+    auto& added = *fleet.instances.back();
+    added.backend->close();
+    const auto backend = std::make_shared<raw_backend>(
+        added.settings.backend,
+        "HTTP/1.1 200 OK\r\nrun: n4-run\r\ncontent-length: 9\r\n\r\npart",
+        true);
+    backend->start();
+    run_until([&] { return backend->requests() == 1 && added.is_ready(); });
+    const auto received = fleet.send("/films/1", "", 3);
+    CHECK(received.status == 503);
+    CHECK(backend->requests() == 1);
+}
--- a/src/mesh/gate_service.cpp
+++ b/src/mesh/gate_service.cpp
@@ -171,15 +171,16 @@
     const auto health = deps_.format->read_health(
         answer.value().status, answer.value().headers);
     constexpr std::size_t max_health_bytes = 64 * 1024;
-    // The connection can only be reused once the body has been read.
     const auto body =
         co_await read_body(std::move(answer.value().body), max_health_bytes);
     log(log_level::info, "health_answered",
         {{"status", answer.value().status},
          {"usable", health.has_value()},
          {"whole", body.has_value()}});
-    if (health)
-        apply_rate_limit(health->id, health->rate_limit);
+    // A backend server that breaks off its answer may be about to end.
+    if (!health || !body)
+        co_return std::nullopt;
+    apply_rate_limit(health->id, health->rate_limit);
     co_return health;
 }
 
