--- a/src/http/broken_answer_test.cpp
+++ b/src/http/broken_answer_test.cpp
@@ -14,6 +14,7 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -129,14 +130,14 @@
     const auto forged = "HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nforged"s;
     for (const auto* status : {"000", "001", "099"}) {
         INFO(status);
-        const auto start_line = fmt::format("HTTP/1.1 {} Trouble\r\n", status);
         const std::vector<std::string> answers = {
-            start_line + "content-length: 0\r\n\r\n",
-            start_line + "\r\n",
-            start_line +
-                fmt::format("content-length: {}\r\n\r\n", forged.size()) +
-                forged,
-            start_line + "\r\n" + forged,
+            fmt::format(
+                "HTTP/1.1 {} Trouble\r\ncontent-length: 0\r\n\r\n", status),
+            fmt::format("HTTP/1.1 {} Trouble\r\n\r\n", status),
+            fmt::format(
+                "HTTP/1.1 {} Trouble\r\ncontent-length: {}\r\n\r\n{}", status,
+                forged.size(), forged),
+            fmt::format("HTTP/1.1 {} Trouble\r\n\r\n{}", status, forged),
         };
         for (const auto& answer : answers) {
             INFO(fj::log_quote(answer));
@@ -175,16 +176,17 @@
         "transfer-encoding : chunked",
         "transfer-encoding\x01: chunked",
     };
-    const auto body = "content-length: 4\r\n\r\nbody"s;
     for (const auto& line : lines) {
         INFO(fj::log_quote(line));
+        constexpr std::string_view body = "content-length: 4\r\n\r\nbody";
         const std::vector<std::string> answers = {
-            "HTTP/1.1 200 OK\r\n" + line + "\r\n" + body,
-            "HTTP/1.1 200 OK\r\nid: 1\r\n" + line + "\r\n" + body,
-            "HTTP/1.1 500 Trouble\r\n" + line + "\r\n\r\nbody",
+            fmt::format("HTTP/1.1 200 OK\r\n{}\r\n{}", line, body),
+            fmt::format("HTTP/1.1 200 OK\r\nid: 1\r\n{}\r\n{}", line, body),
+            fmt::format("HTTP/1.1 500 Trouble\r\n{}\r\n\r\nbody", line),
             // An interim answer is checked as well.
-            "HTTP/1.1 103 Hints\r\n" + line + "\r\n\r\nHTTP/1.1 200 OK\r\n" +
-                body,
+            fmt::format(
+                "HTTP/1.1 103 Hints\r\n{}\r\n\r\nHTTP/1.1 200 OK\r\n{}", line,
+                body),
         };
         for (const auto& answer : answers) {
             scripted_server server(answer, true);
