mesh: log the answer that clears a suspect

Change: suspect_list::finished returns how many crashes it has cleared; the gate logs suspect_cleared with the request and the fingerprint.

--- a/include/fulmarjunction/suspects/suspects.hpp
+++ b/include/fulmarjunction/suspects/suspects.hpp
@@ -121,7 +121,8 @@
         fingerprint print, const instance_name& instance, time_point now);
 
     /// Clears the crashes of a request that a backend server has answered.
-    void finished(fingerprint print, time_point now);
+    /// @return the number of crashes cleared
+    std::size_t finished(fingerprint print, time_point now);
 
     /// Merges a report of a peer.
     /// @return whether the list has changed, so that the report is to be
--- a/src/mesh/gate_service.cpp
+++ b/src/mesh/gate_service.cpp
@@ -109,10 +109,17 @@
     /// Records that the backend server gets the request now.
     void mark_sent() { owner_->crashes_->started(id_, print_); }
 
-    void mark_served()
+    void mark_served(const std::string& request_id)
     {
         is_served_ = true;
-        owner_->deps_.suspects->finished(print_, clock::now());
+        const auto cleared =
+            owner_->deps_.suspects->finished(print_, clock::now());
+        if (cleared == 0)
+            return;
+        log(log_level::info, "suspect_cleared",
+            {{"request", request_id},
+             {"fingerprint", fmt::format("{:x}", print_)},
+             {"crashes", cleared}});
     }
 
     /// Checks whether the backend server crashed during its answer.
@@ -475,10 +482,10 @@
             answer.headers, refused_calls_.service(clock::now()));
     answer.body = with_end_hook(
         std::move(answer.body), answer.content_length,
-        [held = std::move(held), executor = executor_,
+        [held = std::move(held), id = context.request_id, executor = executor_,
          canceled](bool is_complete) {
             if (is_complete)
-                held->mark_served();
+                held->mark_served(id);
             else if (!canceled.is_canceled())
                 asio::co_spawn(
                     executor, slot::check_for_crash(held), asio::detached);
--- a/src/suspects/suspect_list.cpp
+++ b/src/suspects/suspect_list.cpp
@@ -108,20 +108,21 @@
     enforce_max_suspects();
 }
 
-void suspect_list::finished(fingerprint print, time_point now)
+std::size_t suspect_list::finished(fingerprint print, time_point now)
 {
     const auto found = suspects_.find(print);
     if (found == suspects_.end())
-        return;
-    bool changed = false;
+        return 0;
+    std::size_t cleared = 0;
     for (auto& [id, state] : found->second.crashes) {
         if (state.cleared || state.expires <= now)
             continue;
         state.cleared = true;
-        changed = true;
+        ++cleared;
     }
-    if (changed)
+    if (cleared > 0)
         mark_changed_here(found->second);
+    return cleared;
 }
 
 bool suspect_list::merge(const suspect_report& report, time_point now)
