mesh: an answer clears the crashes of a request for its caller only

Cause: crashes were recorded under a fingerprint of host, target and body, whoever sends it, and so were answers.

Change: blame stays with the content. An answer clears it for one caller: the crash is recorded, as cleared, under a second fingerprint that also covers the account, the calling service, the called service and the method (request_prints). The form of the reports between nodes is unchanged. Others that send the content are suspect until they have been answered themselves.

Why it works: what clears a request is now the answer to a request that the backend server can't tell from it, so nothing that the culprit's callers don't send ends the suspicion against them, and each crash counts until it expires.

Same cause on related paths, covered by the change: answers to another method, and answers of another service on a split route.

--- a/include/fulmarjunction/mesh/call_context.hpp
+++ b/include/fulmarjunction/mesh/call_context.hpp
@@ -39,13 +39,24 @@
     client_account account;
     /// Id of the backend server process that must answer.
     std::string backend_id;
-    /// Equal for equal requests.
+    /// Equal for equal content, whoever sends it.
     fingerprint print = no_fingerprint;
     /// Whether an earlier attempt was in flight at a crash of its backend
     /// server.
     bool is_crash_retry = false;
 };
 
+/// Returns the fingerprints of a request with this context.
+/// @param service service that the request is for
+inline request_prints prints_of(
+    const call_context& context, const service_name& service,
+    std::string_view method)
+{
+    return prints_of(
+        context.print,
+        {context.account, context.caller_service, service, method});
+}
+
 /// Why a node answers a request itself.
 enum class node_refusal
 {
--- a/include/fulmarjunction/mesh/gate_service.hpp
+++ b/include/fulmarjunction/mesh/gate_service.hpp
@@ -90,9 +90,10 @@
     class slot;
 
     std::optional<node_answer> check_backend(const call_context& context) const;
-    suspect_decision decide_suspicion(const call_context& context) const;
-    std::optional<node_answer>
-    check_suspicion(const call_context& context) const;
+    suspect_decision decide_suspicion(
+        const call_context& context, const request_prints& prints) const;
+    std::optional<node_answer> check_suspicion(
+        const call_context& context, const request_prints& prints) const;
     awaitable<std::optional<node_answer>> wait_for_slot(
         std::uint64_t id, const call_context& context, cancel_event canceled);
     void count_outcome(
--- a/include/fulmarjunction/suspects/suspects.hpp
+++ b/include/fulmarjunction/suspects/suspects.hpp
@@ -29,6 +29,40 @@
     const client_account& account, const endpoint_name& endpoint,
     std::string_view target, std::string_view body);
 
+/// Fingerprints of one request.
+struct request_prints
+{
+    /// @param print fingerprint that covers the caller as well
+    request_prints(fingerprint print) : content(print), caller(print) {}
+
+    request_prints(fingerprint content_print, fingerprint caller_print)
+        : content(content_print), caller(caller_print)
+    {
+    }
+
+    /// Equal for equal content. Crashes are recorded under it, so that content
+    /// that crashes backend servers is known whoever sends it.
+    fingerprint content;
+    /// Covers the rest of the identity as well. Answers are recorded under it,
+    /// so that an answer to one caller says nothing about others.
+    fingerprint caller;
+};
+
+/// What identifies a request besides its content.
+struct request_identity
+{
+    client_account account;
+    /// Service of the instance that sends the request.
+    service_name caller_service;
+    /// Service that the request is for.
+    service_name service;
+    std::string_view method;
+};
+
+/// Returns the fingerprints of a request.
+/// @param content fingerprint of its content
+request_prints prints_of(fingerprint content, const request_identity& identity);
+
 /// Limits of the suspect list and the suspect gate.
 struct suspect_settings
 {
@@ -96,6 +130,10 @@
 /// Suspect fingerprints known to one node. Merging reports is commutative and
 /// idempotent: crashes and their cleared flags are only added, until they
 /// expire.
+///
+/// A crash is recorded under the content of a request and counts for all who
+/// send it. An answer clears it for one of them: the crash is also recorded, as
+/// cleared, under the fingerprint of that caller's requests.
 class suspect_list
 {
 public:
@@ -118,11 +156,12 @@
     /// failed while running the request, so that the next attempt does not
     /// depend on the crash report.
     void attempt_failed(
-        fingerprint print, const instance_name& instance, time_point now);
+        fingerprint content, const instance_name& instance, time_point now);
 
-    /// Clears the crashes of a request that a backend server has answered.
+    /// Clears the crashes of a request that a backend server has answered, for
+    /// requests with the same identity.
     /// @return the number of crashes cleared
-    std::size_t finished(fingerprint print, time_point now);
+    std::size_t finished(const request_prints& prints, time_point now);
 
     /// Merges a report of a peer.
     /// @return whether the list has changed, so that the report is to be
@@ -132,8 +171,8 @@
     /// Decides on the node that chooses an instance.
     /// @param instances instances of the service that may be chosen
     suspect_decision decide(
-        fingerprint print, const std::vector<instance_name>& instances,
-        time_point now) const;
+        const request_prints& prints,
+        const std::vector<instance_name>& instances, time_point now) const;
 
     /// Decides on the node whose backend server is to run the request.
     /// @param after_backend_failure whether the sender retries the request
@@ -143,7 +182,8 @@
     ///        alone. The request runs twice at most, since the sender makes no
     ///        third attempt.
     suspect_decision decide_local(
-        fingerprint print, bool after_backend_failure, time_point now) const;
+        const request_prints& prints, bool after_backend_failure,
+        time_point now) const;
 
     /// Returns reports of the fingerprints changed after change number `after`,
     /// newest first, at most `limit` of them.
@@ -211,7 +251,10 @@
         entry.own_change = entry.change;
     }
     void enforce_max_suspects();
-    crash_summary summarize(fingerprint print, time_point now) const;
+    bool is_cleared(
+        const request_prints& prints, const crash_id& id,
+        const crash_state& state) const;
+    crash_summary summarize(const request_prints& prints, time_point now) const;
     static std::optional<instance_name> choose_instance(
         fingerprint print, const std::vector<instance_name>& instances,
         const std::set<instance_name>& excluded);
--- a/src/mesh/caller_entry.cpp
+++ b/src/mesh/caller_entry.cpp
@@ -283,7 +283,7 @@
     outgoing.headers = std::move(incoming.message.headers);
     outgoing.content_length = incoming.message.content_length;
     outgoing.body = std::move(body);
-    // The same content crashes a backend server whoever sends it, also after
+    // The same content may crash a backend server whoever sends it, also after
     // the route has been renamed.
     const auto host = find_header(outgoing.headers, "host").value_or("");
     outgoing.context.print = fingerprint_of(
--- a/src/mesh/crashing_request_test.cpp
+++ b/src/mesh/crashing_request_test.cpp
@@ -184,6 +184,36 @@
     CHECK(count_crashes(fleet) == 2);
 }
 
+// Guards against a request that crashes one server each time it is sent because
+// the answers to equal requests of another service clear its crashes.
+TEST_CASE("answers to other callers do not clear the crashes of a request")
+{
+    auto& fleet = make_book_fleet();
+    for (const auto* name : {"n6", "n7", "n8"})
+        fleet.add_instance(name, "shop");
+    fleet.rows->config.routes[0].kind = fj::execution::unique;
+    fleet.publish();
+    for (const auto& instance : fleet.instances)
+        instance->crashing_caller = "shop";
+    const std::vector<std::size_t> shops = {0, 5, 6, 7};
+    const std::vector<std::size_t> others = {1, 2, 3, 4};
+    constexpr std::size_t rounds = 12;
+    std::size_t answered = 0;
+    for (std::size_t round = 0; round < rounds; ++round) {
+        // No node sends it often enough to refuse it for what it saw itself.
+        fleet.send(crashing_path, key, shops[round % shops.size()]);
+        wait_for(milliseconds(500));
+        send_heartbeats(fleet);
+        for (const auto index : others)
+            answered +=
+                fleet.send(crashing_path, key, index).status == 200 ? 1 : 0;
+    }
+    CHECK(count_crashes(fleet) <= 2);
+    CHECK(fleet.send(crashing_path, key, shops[0]).status == 503);
+    // Equal requests of other callers are served between the crashes.
+    CHECK(answered == rounds * others.size());
+}
+
 // Guards against copies of a request that wait at the same gate and crash each
 // process that the backend server starts meanwhile under its old id.
 TEST_CASE("copies that wait while a request crashes servers do not run")
--- a/src/mesh/forwarder.cpp
+++ b/src/mesh/forwarder.cpp
@@ -158,8 +158,8 @@
     if (deps_.suspects->size() == 0)
         return {};
     return deps_.suspects->decide(
-        outgoing.context.print, deps_.target_placement->nodes(outgoing.service),
-        clock::now());
+        prints_of(outgoing.context, outgoing.service, outgoing.method),
+        deps_.target_placement->nodes(outgoing.service), clock::now());
 }
 
 std::variant<placement::choice, node_answer> forwarder::choose_target(
--- a/src/mesh/gate_service.cpp
+++ b/src/mesh/gate_service.cpp
@@ -86,8 +86,8 @@
 public:
     slot(
         std::shared_ptr<gate_service> owner, std::uint64_t id,
-        fingerprint print)
-        : owner_(std::move(owner)), id_(id), print_(print),
+        const request_prints& prints)
+        : owner_(std::move(owner)), id_(id), prints_(prints),
           acquired_at_(clock::now())
     {
     }
@@ -107,21 +107,24 @@
     void mark_alone() { runs_alone_ = true; }
 
     /// Records that the backend server gets the request now.
-    void mark_sent() { owner_->crashes_->started(id_, print_); }
+    void mark_sent() { owner_->crashes_->started(id_, prints_.content); }
 
     void mark_served(const std::string& request_id)
     {
         is_served_ = true;
         const auto cleared =
-            owner_->deps_.suspects->finished(print_, clock::now());
+            owner_->deps_.suspects->finished(prints_, clock::now());
         if (cleared == 0)
             return;
         log(log_level::info, "suspect_cleared",
             {{"request", request_id},
-             {"fingerprint", fmt::format("{:x}", print_)},
+             {"fingerprint", fmt::format("{:x}", prints_.content)},
+             {"caller_fingerprint", fmt::format("{:x}", prints_.caller)},
              {"crashes", cleared}});
     }
 
+    const request_prints& prints() const { return prints_; }
+
     /// Checks whether the backend server crashed during its answer.
     static awaitable<void> check_for_crash(std::shared_ptr<slot> held)
     {
@@ -131,7 +134,7 @@
 private:
     std::shared_ptr<gate_service> owner_;
     std::uint64_t id_;
-    fingerprint print_;
+    request_prints prints_;
     time_point acquired_at_;
     bool is_served_ = false;
     bool runs_alone_ = false;
@@ -231,17 +234,17 @@
     return std::nullopt;
 }
 
-suspect_decision
-gate_service::decide_suspicion(const call_context& context) const
+suspect_decision gate_service::decide_suspicion(
+    const call_context& context, const request_prints& prints) const
 {
     return deps_.suspects->decide_local(
-        context.print, context.is_crash_retry, clock::now());
+        prints, context.is_crash_retry, clock::now());
 }
 
-std::optional<node_answer>
-gate_service::check_suspicion(const call_context& context) const
+std::optional<node_answer> gate_service::check_suspicion(
+    const call_context& context, const request_prints& prints) const
 {
-    const auto suspicion = decide_suspicion(context);
+    const auto suspicion = decide_suspicion(context, prints);
     if (suspicion.action != suspect_action::refuse)
         return std::nullopt;
     return node_answer{
@@ -341,7 +344,9 @@
     if (const auto refusal = check_backend(context))
         co_return refuse(context, *refusal);
     const auto arrived_at = clock::now();
-    if (const auto refusal = check_suspicion(context))
+    const auto prints =
+        prints_of(context, deps_.monitor->service(), request.method);
+    if (const auto refusal = check_suspicion(context, prints))
         co_return refuse(context, *refusal);
     const auto id = next_id_++;
     const auto refused = co_await wait_for_slot(id, context, canceled);
@@ -351,9 +356,9 @@
         count_outcome(context, waited, refused.has_value());
     if (refused)
         co_return refuse(context, *refused);
-    auto held = std::make_shared<slot>(shared_from_this(), id, context.print);
+    auto held = std::make_shared<slot>(shared_from_this(), id, prints);
     const bool alone =
-        decide_suspicion(context).action == suspect_action::run_alone;
+        decide_suspicion(context, prints).action == suspect_action::run_alone;
     if (!co_await turns_.wait(id, alone, context.deadline, canceled)) {
         co_return refuse(
             context,
@@ -502,7 +507,7 @@
     // requests may have crashed others.
     if (const auto refusal = check_backend(context))
         co_return refuse(context, *refusal);
-    if (const auto refusal = check_suspicion(context))
+    if (const auto refusal = check_suspicion(context, held->prints()))
         co_return refuse(context, *refusal);
     const auto now = clock::now();
     const auto left =
--- a/src/mesh/mesh_test_fleet.hpp
+++ b/src/mesh/mesh_test_fleet.hpp
@@ -347,7 +347,9 @@
         request.on_cancel([this] { ++cancellations; });
         last_headers = fields;
         const bool is_crashing =
-            request.message.target.find("crash") != std::string::npos;
+            request.message.target.find("crash") != std::string::npos &&
+            (crashing_caller.empty() ||
+             field(fields, "from") == crashing_caller);
         if (service_time > milliseconds(0)) {
             asio::steady_timer timer(io(), service_time);
             co_await timer.async_wait(use_awaitable);
@@ -387,6 +389,8 @@
     bool keeps_id = false;
     milliseconds restart_delay{300};
     int crashes = 0;
+    /// Service whose callers send the requests that crash; empty if all do.
+    std::string crashing_caller;
     bool resets_connections = false;
     bool has_endless_answers = false;
     /// How long the body of an answer is silent before it ends.
--- a/src/suspects/suspect_list.cpp
+++ b/src/suspects/suspect_list.cpp
@@ -42,6 +42,14 @@
     return hash_text(body.substr(0, fingerprint_body_bytes), hash);
 }
 
+request_prints prints_of(fingerprint content, const request_identity& identity)
+{
+    auto hash = hash_text(identity.account, content);
+    hash = hash_text(identity.caller_service, hash);
+    hash = hash_text(identity.service, hash);
+    return {content, hash_text(identity.method, hash)};
+}
+
 suspect_list::suspect_list(
     suspect_settings settings, instance_name self,
     std::uint64_t first_crash_number)
@@ -99,29 +107,35 @@
 }
 
 void suspect_list::attempt_failed(
-    fingerprint print, const instance_name& instance, time_point now)
+    fingerprint content, const instance_name& instance, time_point now)
 {
-    auto& entry = suspects_[print];
+    auto& entry = suspects_[content];
     // A new failure counts even if an earlier one was cleared.
     entry.crashes.erase({instance, 0});
     add_crash(entry, {instance, 0}, {now + settings_.expiry, false});
     enforce_max_suspects();
 }
 
-std::size_t suspect_list::finished(fingerprint print, time_point now)
+std::size_t suspect_list::finished(const request_prints& prints, time_point now)
 {
-    const auto found = suspects_.find(print);
+    const auto found = suspects_.find(prints.content);
     if (found == suspects_.end())
         return 0;
+    // Copied, since the two fingerprints may share an entry.
+    const auto crashes = found->second.crashes;
     std::size_t cleared = 0;
-    for (auto& [id, state] : found->second.crashes) {
-        if (state.cleared || state.expires <= now)
+    for (const auto& [id, state] : crashes) {
+        if (state.expires <= now || is_cleared(prints, id, state))
             continue;
-        state.cleared = true;
+        auto& entry = suspects_[prints.caller];
+        entry.crashes.erase(id);
+        add_crash(entry, id, {state.expires, true});
         ++cleared;
     }
-    if (cleared > 0)
-        mark_changed_here(found->second);
+    if (cleared == 0)
+        return 0;
+    mark_changed_here(suspects_[prints.caller]);
+    enforce_max_suspects();
     return cleared;
 }
 
@@ -146,16 +160,33 @@
     return changed;
 }
 
+/// Returns whether an answer has cleared the crash for this caller.
+bool suspect_list::is_cleared(
+    const request_prints& prints, const crash_id& id,
+    const crash_state& state) const
+{
+    if (state.cleared)
+        return true;
+    const auto answered = suspects_.find(prints.caller);
+    if (answered == suspects_.end())
+        return false;
+    const auto found = answered->second.crashes.find(id);
+    if (found == answered->second.crashes.end() || !found->second.cleared)
+        return false;
+    // Failures that a sender observed at an instance share the number 0.
+    return id.number != 0 || state.expires <= found->second.expires;
+}
+
 suspect_list::crash_summary
-suspect_list::summarize(fingerprint print, time_point now) const
+suspect_list::summarize(const request_prints& prints, time_point now) const
 {
     crash_summary known;
-    const auto found = suspects_.find(print);
+    const auto found = suspects_.find(prints.content);
     if (found == suspects_.end())
         return known;
     std::set<instance_name> reported;
     for (const auto& [id, state] : found->second.crashes) {
-        if (state.cleared || state.expires <= now)
+        if (state.expires <= now || is_cleared(prints, id, state))
             continue;
         known.instances.insert(id.instance);
         known.expires = std::max(known.expires, state.expires);
@@ -189,13 +220,13 @@
 }
 
 suspect_decision suspect_list::decide(
-    fingerprint print, const std::vector<instance_name>& instances,
+    const request_prints& prints, const std::vector<instance_name>& instances,
     time_point now) const
 {
-    const auto known = summarize(print, now);
+    const auto known = summarize(prints, now);
     if (known.crashes == 0)
         return {};
-    auto instance = choose_instance(print, instances, known.instances);
+    auto instance = choose_instance(prints.content, instances, known.instances);
     if (known.crashes < crashes_to_refuse && instance)
         return {suspect_action::run_alone, std::move(instance)};
     if (!settings_.trial_after || known.crashes > crashes_to_refuse)
@@ -205,19 +236,20 @@
     if (now < trial_at)
         return {suspect_action::refuse, std::nullopt, trial_at - now};
     if (!instance)
-        instance = choose_instance(print, instances, {});
+        instance = choose_instance(prints.content, instances, {});
     if (!instance)
         return {suspect_action::refuse};
     return {suspect_action::run_alone, std::move(instance)};
 }
 
 suspect_decision suspect_list::decide_local(
-    fingerprint print, bool after_backend_failure, time_point now) const
+    const request_prints& prints, bool after_backend_failure,
+    time_point now) const
 {
     if (after_backend_failure &&
-        summarize(print, now).crashes < crashes_to_refuse)
+        summarize(prints, now).crashes < crashes_to_refuse)
         return {};
-    return decide(print, {self_}, now);
+    return decide(prints, {self_}, now);
 }
 
 std::vector<suspect_report> suspect_list::changes(
--- a/src/suspects/suspects_test.cpp
+++ b/src/suspects/suspects_test.cpp
@@ -269,6 +269,71 @@
         list.decide(7, {"i1"}, later + seconds(200)).action == action::refuse);
 }
 
+// Guards against a request that crashes servers again and again because equal
+// requests of other callers are answered.
+TEST_CASE("an answer clears the crashes of a request for its caller only")
+{
+    const auto culprit = fj::prints_of(7, {"a", "front", "books", "POST"});
+    const auto others = {
+        fj::prints_of(7, {"b", "front", "books", "POST"}),
+        fj::prints_of(7, {"a", "cron", "books", "POST"}),
+        fj::prints_of(7, {"a", "front", "shop", "POST"}),
+        fj::prints_of(7, {"a", "front", "books", "GET"})};
+    auto first = make_list("i1");
+    auto second = make_list("i2");
+    auto entry = make_list("e");
+    first.crashed({7}, std::nullopt, start);
+    exchange(first, second, start);
+    const auto reports = second.changes(0, 100, start);
+    for (const auto& other : others) {
+        // Content that crashes a server is suspect whoever sends it, until a
+        // request of the same caller has been answered.
+        CHECK(
+            second.decide_local(other, false, start).action ==
+            action::run_alone);
+        CHECK(second.finished(other, start) == 1);
+        CHECK(second.finished(other, start) == 0);
+    }
+    // All nodes learn which answers there were, in whatever order.
+    exchange(second, entry, start);
+    exchange(first, entry, start);
+    for (const auto& other : others)
+        CHECK(entry.decide(other, instances, start).action == action::run);
+    CHECK(entry.decide(culprit, instances, start).action == action::run_alone);
+    second.crashed({7}, fj::fingerprint{7}, start + seconds(1));
+    exchange(second, entry, start + seconds(1));
+    CHECK(
+        entry.decide(culprit, instances, start + seconds(1)).action ==
+        action::refuse);
+    // The second crash is a new reason to suspect the others, once.
+    for (const auto& other : others) {
+        CHECK(
+            entry.decide(other, instances, start + seconds(1)).action ==
+            action::run_alone);
+    }
+    // An answer to the culprit clears both crashes for it.
+    CHECK(entry.finished(culprit, start + seconds(2)) == 2);
+    CHECK(
+        entry.decide(culprit, instances, start + seconds(2)).action ==
+        action::run);
+}
+
+// Guards against a failed attempt that an earlier answer hides from its sender.
+TEST_CASE("a new failed attempt counts although an earlier one was cleared")
+{
+    const auto prints = fj::prints_of(7, {"a", "front", "books", "POST"});
+    auto entry = make_list("i1");
+    entry.attempt_failed(7, "i2", start);
+    CHECK(entry.finished(prints, start + seconds(1)) == 1);
+    CHECK(
+        entry.decide(prints, instances, start + seconds(1)).action ==
+        action::run);
+    entry.attempt_failed(7, "i2", start + seconds(2));
+    CHECK(
+        entry.decide(prints, instances, start + seconds(2)).action ==
+        action::run_alone);
+}
+
 // Guards against reports that all nodes pass on to each other.
 TEST_CASE("own changes leave out what a peer reported")
 {
