suspects: an answer also clears what a sender observed of a reported crash

Cause: a sender records a failed attempt at once, as a crash with the number 0. The instance reports the same crash under its own number.

Evidence: the test on the code before, five of five runs: suspects/suspects_test.cpp:355: FAILED: CHECK( entry.decide(7, instances, reported_at).action == action::run ) with expansion: 1 == 0 (run_alone, not run) It passes with the change, as do all tests of suspects, serving, and of crashing requests in mesh and process.

--- a/include/fulmarjunction/suspects/suspects.hpp
+++ b/include/fulmarjunction/suspects/suspects.hpp
@@ -251,6 +251,9 @@
         entry.own_change = entry.change;
     }
     void enforce_max_suspects();
+    static bool is_reported(
+        const suspect& entry, const instance_name& instance,
+        const crash_state& observed);
     bool is_cleared(
         const request_prints& prints, const crash_id& id,
         const crash_state& state) const;
--- a/src/suspects/suspect_list.cpp
+++ b/src/suspects/suspect_list.cpp
@@ -177,6 +177,20 @@
     return id.number != 0 || state.expires <= found->second.expires;
 }
 
+/// Returns whether a failure that a sender observed at an instance is a crash
+/// that the instance has reported itself.
+bool suspect_list::is_reported(
+    const suspect& entry, const instance_name& instance,
+    const crash_state& observed)
+{
+    return std::any_of(
+        entry.crashes.begin(), entry.crashes.end(), [&](const auto& crash) {
+            const auto& [id, state] = crash;
+            return id.instance == instance && id.number != 0 &&
+                   state.expires + expiry_slack >= observed.expires;
+        });
+}
+
 suspect_list::crash_summary
 suspect_list::summarize(const request_prints& prints, time_point now) const
 {
@@ -184,19 +198,15 @@
     const auto found = suspects_.find(prints.content);
     if (found == suspects_.end())
         return known;
-    std::set<instance_name> reported;
     for (const auto& [id, state] : found->second.crashes) {
         if (state.expires <= now || is_cleared(prints, id, state))
             continue;
+        if (id.number == 0 && is_reported(found->second, id.instance, state))
+            continue;
         known.instances.insert(id.instance);
         known.expires = std::max(known.expires, state.expires);
-        if (id.number == 0)
-            continue;
-        reported.insert(id.instance);
         ++known.crashes;
     }
-    // A failure that a sender observed is the crash that its instance reports.
-    known.crashes += known.instances.size() - reported.size();
     return known;
 }
 
--- a/src/suspects/suspects_test.cpp
+++ b/src/suspects/suspects_test.cpp
@@ -334,6 +334,32 @@
         action::run_alone);
 }
 
+// Guards against requests that their sender refuses for minutes after a crash
+// that others caused, although they have been answered since.
+TEST_CASE("an answer also clears what a sender observed of a reported crash")
+{
+    for (const auto report_delay : {milliseconds(0), milliseconds(1500)}) {
+        auto entry = make_list("e");
+        auto crashed = make_list("i1");
+        auto other = make_list("i2");
+        const auto reported_at = start + report_delay;
+        crashed.crashed({7}, std::nullopt, start);
+        entry.attempt_failed(7, "i1", start + milliseconds(50));
+        exchange(crashed, entry, reported_at);
+        exchange(crashed, other, reported_at);
+        CHECK(
+            entry.decide(7, instances, reported_at).action ==
+            action::run_alone);
+        other.finished(7, reported_at);
+        exchange(other, entry, reported_at);
+        CHECK(entry.decide(7, instances, reported_at).action == action::run);
+        // A later crash of the same instance is not the reported one.
+        const auto later = start + seconds(5);
+        entry.attempt_failed(7, "i1", later);
+        CHECK(entry.decide(7, instances, later).action == action::run_alone);
+    }
+}
+
 // Guards against reports that all nodes pass on to each other.
 TEST_CASE("own changes leave out what a peer reported")
 {
