--- a/src/mesh/mesh_test_fleet.hpp
+++ b/src/mesh/mesh_test_fleet.hpp
@@ -10,8 +10,6 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
-#include <unistd.h>
-
 #include <map>
 #include <memory>
 #include <optional>
@@ -196,28 +194,6 @@
     return format;
 }
 
-/// Returns a free address. Its port lies below the ephemeral ports, so that no
-/// outgoing connection takes it in the meantime.
-inline tcp::endpoint free_address()
-{
-    constexpr unsigned first_port = 12'000;
-    constexpr unsigned ports = 18'000;
-    static auto next = static_cast<unsigned>(getpid()) * 97;
-    for (;;) {
-        const auto port = first_port + next++ % ports;
-        tcp::acceptor acceptor(io());
-        tcp::endpoint address(
-            asio::ip::address_v4::loopback(),
-            static_cast<unsigned short>(port));
-        acceptor.open(address.protocol());
-        acceptor.set_option(tcp::acceptor::reuse_address(true));
-        boost::system::error_code taken;
-        acceptor.bind(address, taken);
-        if (!taken)
-            return address;
-    }
-}
-
 /// A backend server with its node.
 struct test_instance
 {
--- a/src/test_main/transport_test_support.hpp
+++ b/src/test_main/transport_test_support.hpp
@@ -18,6 +18,8 @@
 #include <openssl/evp.h>
 #include <openssl/x509.h>
 
+#include <unistd.h>
+
 #include <memory>
 #include <optional>
 #include <stdexcept>
@@ -42,6 +44,28 @@
     return context;
 }
 
+/// Returns a free address. Its port lies below the ephemeral ports, so that no
+/// outgoing connection takes it in the meantime.
+inline tcp::endpoint free_address()
+{
+    constexpr unsigned first_port = 12'000;
+    constexpr unsigned ports = 18'000;
+    static auto next = static_cast<unsigned>(getpid()) * 97;
+    for (;;) {
+        const auto port = first_port + next++ % ports;
+        tcp::acceptor acceptor(io());
+        tcp::endpoint address(
+            asio::ip::address_v4::loopback(),
+            static_cast<unsigned short>(port));
+        acceptor.open(address.protocol());
+        acceptor.set_option(tcp::acceptor::reuse_address(true));
+        boost::system::error_code taken;
+        acceptor.bind(address, taken);
+        if (!taken)
+            return address;
+    }
+}
+
 /// Runs the context until `done()` returns true; throws after `hang_limit`.
 template <class Predicate>
 void run_until(Predicate done)
