mesh: a restarted node remembers that its backend server has left

Cause: the node kept the leave in memory only. It was killed and started again, and the first heartbeat that came was taken, one from before the leave. A draining state was forgotten in the same way. A planned restart had the same effect.

A node that starts reads the row with those of the nodes, and takes no backend server for ready before. Heartbeats of a process that has left are ignored, of one that drains those from before it said so; health answers of both are. The row is removed after 300 s, by another node if this one is gone.

Why it works: what decides whether a heartbeat is from before the departure outlives the process, whoever ends it, and is read before any heartbeat counts.

--- a/include/fulmarjunction/mesh/backend_monitor.hpp
+++ b/include/fulmarjunction/mesh/backend_monitor.hpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace fulmarjunction {
 
@@ -40,6 +41,22 @@
     std::optional<std::int64_t> start_time_ms;
 };
 
+/// Time after which no heartbeat from before a departure can arrive.
+inline constexpr seconds departure_retention(300);
+
+/// A process that has announced that it ends. Its node remembers it over its
+/// own restarts, since heartbeats from before may still be on their way.
+struct backend_departure
+{
+    std::string id;
+    /// Start of the process, if known.
+    std::optional<std::int64_t> start_time_ms;
+    /// Sequence number of the heartbeat that said so. Earlier ones are ignored;
+    /// without a number, the process has left and all of them are.
+    std::optional<std::uint64_t> sequence;
+    time_point announced_at;
+};
+
 /// Result of processing a heartbeat.
 enum class heartbeat_verdict
 {
@@ -75,6 +92,18 @@
     /// draining backend server may still report that it is healthy.
     void receive(const backend_health& health, time_point now);
 
+    /// Takes no backend server for ready until `restore` has been called.
+    void begin_restore() { is_restoring_ = true; }
+
+    /// Adds the departures that an earlier run of this node has acknowledged.
+    /// Also applies to what has been received since the start of this run.
+    void
+    restore(const std::vector<backend_departure>& departures, time_point now);
+
+    /// Returns the departures that a restart of this node must not forget,
+    /// the oldest first.
+    std::vector<backend_departure> departures(time_point now) const;
+
     /// Returns whether no heartbeat or health answer has arrived yet.
     bool is_unknown() const { return !received_at_; }
 
@@ -103,29 +132,20 @@
     std::function<void()> on_change;
 
 private:
-    /// A process that has announced its leave.
-    struct departed_process
-    {
-        std::string id;
-        /// Start of the process, if known.
-        std::optional<std::int64_t> start_time_ms;
-        time_point left_at;
-    };
-
     bool is_newer(const backend_heartbeat& beat) const;
     bool is_other_process(const backend_heartbeat& beat) const;
-    bool has_departed(
-        const std::string& id, std::int64_t start_time_ms,
-        time_point now) const;
-    void record_departed(const backend_leave& leave, time_point now);
+    bool has_departed(const backend_heartbeat& beat, time_point now) const;
+    void record_departure(backend_departure departure);
+    void record_draining(const backend_heartbeat& beat, time_point now);
 
     service_name service_;
     std::string address_;
     duration heartbeat_timeout_;
     backend_heartbeat last_;
     std::optional<time_point> received_at_;
-    /// The last processes that have left, the newest at the end.
-    std::deque<departed_process> departed_;
+    /// The last processes that have announced their end, the newest at the end.
+    std::deque<backend_departure> departed_;
+    bool is_restoring_ = false;
     bool has_left_ = false;
     bool says_leaving_ = false;
     bool is_unreachable_ = false;
--- a/include/fulmarjunction/mesh/mesh_node.hpp
+++ b/include/fulmarjunction/mesh/mesh_node.hpp
@@ -21,6 +21,9 @@
 {
     std::function<heartbeat_verdict(const backend_heartbeat&)> heartbeat;
     std::function<void(const backend_leave&)> leave;
+    /// Waits until the departures announced so far outlive this process. A
+    /// message that announces one is acknowledged only then.
+    std::function<awaitable<void>()> departures_stored;
 };
 
 /// Connects a node to the protocols of its platform.
--- a/include/fulmarjunction/store/fleet_store.hpp
+++ b/include/fulmarjunction/store/fleet_store.hpp
@@ -42,6 +42,17 @@
     duration age{};
 };
 
+/// Backend servers that have announced their end, as a node has stored them.
+struct stored_departures
+{
+    instance_name node;
+    /// JSON form of the departures, see `departure_archive`.
+    std::string departures;
+    /// Time since they were stored, by the store's clock.
+    duration age{};
+    store_position version = 0;
+};
+
 /// State of the fleet in the store at one point in time.
 struct fleet_rows
 {
@@ -51,6 +62,7 @@
     /// Reports as written, each with the incarnation that its write began.
     std::vector<node_report> nodes;
     std::vector<stored_suspects> suspects;
+    std::vector<stored_departures> departures;
 };
 
 /// The shared store. Its answers are linearizable; every call may fail, be
@@ -95,6 +107,16 @@
     virtual awaitable<result<void>>
     put_suspects(const instance_name& node, const std::string& reports) = 0;
 
+    /// Stores the departures that a node has acknowledged, in place of its
+    /// earlier ones. They outlive the node and its row.
+    /// @param departures JSON form of the departures; empty to remove them
+    virtual awaitable<result<void>> put_departures(
+        const instance_name& node, const std::string& departures) = 0;
+
+    /// Removes the departures of a node if they still have this version.
+    virtual awaitable<result<void>>
+    remove_departures(const instance_name& node, store_position version) = 0;
+
     /// Removes the row of a node if it still has this version.
     virtual awaitable<result<void>>
     remove_node(const instance_name& node, store_position version) = 0;
--- a/src/mesh/backend_monitor.cpp
+++ b/src/mesh/backend_monitor.cpp
@@ -58,33 +58,80 @@
     return beat.start_time_ms != last_.start_time_ms;
 }
 
-/// Returns whether a process has announced its leave. A later process may have
-/// the same id.
+/// Returns whether a heartbeat was sent before its process announced its end. A
+/// later process may have the same id.
 bool backend_monitor::has_departed(
-    const std::string& id, std::int64_t start_time_ms, time_point now) const
+    const backend_heartbeat& beat, time_point now) const
 {
-    return std::any_of(
-        departed_.begin(), departed_.end(), [&](const departed_process& gone) {
-            if (gone.id != id)
-                return false;
-            if (gone.start_time_ms)
-                return start_time_ms <= *gone.start_time_ms;
-            return now - gone.left_at < heartbeat_timeout_;
-        });
+    const auto covers = [&](const backend_departure& gone) {
+        if (gone.id != beat.id)
+            return false;
+        if (gone.start_time_ms && beat.start_time_ms != *gone.start_time_ms)
+            return beat.start_time_ms < *gone.start_time_ms;
+        if (!gone.start_time_ms &&
+            now - gone.announced_at >= heartbeat_timeout_)
+            return false;
+        return !gone.sequence || beat.sequence < *gone.sequence;
+    };
+    return std::any_of(departed_.begin(), departed_.end(), covers);
 }
 
-void backend_monitor::record_departed(
-    const backend_leave& leave, time_point now)
+/// Adds a departure in place of an earlier one of the same process. One that
+/// has left can't be draining any more.
+void backend_monitor::record_departure(backend_departure departure)
 {
-    auto start_time_ms = leave.start_time_ms;
-    if (!start_time_ms && leave.id == last_.id &&
-        last_.start_time_ms != unknown_start)
-        start_time_ms = last_.start_time_ms;
-    departed_.push_back({leave.id, start_time_ms, now});
+    const auto known = std::find_if(
+        departed_.begin(), departed_.end(), [&](const auto& other) {
+            return other.id == departure.id &&
+                   other.start_time_ms == departure.start_time_ms;
+        });
+    if (known != departed_.end()) {
+        if (departure.sequence && !known->sequence)
+            return;
+        departed_.erase(known);
+    }
+    departed_.push_back(std::move(departure));
     if (departed_.size() > max_departed)
         departed_.pop_front();
 }
 
+/// Records the first heartbeat of a process that says that it drains.
+void backend_monitor::record_draining(
+    const backend_heartbeat& beat, time_point now)
+{
+    backend_departure departure{beat.id, std::nullopt, beat.sequence, now};
+    if (beat.start_time_ms != unknown_start)
+        departure.start_time_ms = beat.start_time_ms;
+    record_departure(std::move(departure));
+}
+
+void backend_monitor::restore(
+    const std::vector<backend_departure>& departures, time_point now)
+{
+    // Those of this run are newer.
+    const auto of_this_run = std::exchange(departed_, {});
+    for (const auto& departure : departures)
+        record_departure(departure);
+    for (const auto& departure : of_this_run)
+        record_departure(departure);
+    is_restoring_ = false;
+    if (!received_at_)
+        return;
+    has_left_ = has_left_ || has_departed(last_, now);
+    if (on_change)
+        on_change();
+}
+
+std::vector<backend_departure> backend_monitor::departures(time_point now) const
+{
+    std::vector<backend_departure> kept;
+    for (const auto& departure : departed_) {
+        if (now - departure.announced_at < departure_retention)
+            kept.push_back(departure);
+    }
+    return kept;
+}
+
 heartbeat_verdict
 backend_monitor::receive(const backend_heartbeat& beat, time_point now)
 {
@@ -92,9 +139,11 @@
         return heartbeat_verdict::foreign;
     // A process may still send heartbeats after it has announced its leave, and
     // earlier ones may arrive after it.
-    if (!is_newer(beat) || has_departed(beat.id, beat.start_time_ms, now))
+    if (!is_newer(beat) || has_departed(beat, now))
         return heartbeat_verdict::outdated;
     const bool is_other = is_other_process(beat);
+    if (beat.is_draining && (is_other || !last_.is_draining))
+        record_draining(beat, now);
     const bool differs = is_other || state(now) == backend_state::absent ||
                          beat.is_draining != last_.is_draining ||
                          beat.slots != last_.slots;
@@ -110,7 +159,11 @@
 
 void backend_monitor::receive(const backend_leave& leave, time_point now)
 {
-    record_departed(leave, now);
+    auto start_time_ms = leave.start_time_ms;
+    if (!start_time_ms && leave.id == last_.id &&
+        last_.start_time_ms != unknown_start)
+        start_time_ms = last_.start_time_ms;
+    record_departure({leave.id, start_time_ms, std::nullopt, now});
     if (!received_at_ || leave.id != last_.id)
         return;
     if (last_.start_time_ms != unknown_start && leave.start_time_ms &&
@@ -124,12 +177,15 @@
 
 void backend_monitor::receive(const backend_health& health, time_point now)
 {
-    if (received_at_ || has_departed(health.id, unknown_start, now))
+    backend_heartbeat first;
+    first.id = health.id;
+    first.service = service_;
+    first.address = address_;
+    first.slots = health.slots;
+    first.start_time_ms = unknown_start;
+    if (received_at_ || has_departed(first, now))
         return;
-    last_.id = health.id;
-    last_.service = service_;
-    last_.address = address_;
-    last_.slots = health.slots;
+    last_ = first;
     received_at_ = now;
     if (on_change)
         on_change();
@@ -153,7 +209,7 @@
 
 backend_state backend_monitor::state(time_point now) const
 {
-    if (!received_at_ || has_left_ || is_unreachable_ ||
+    if (is_restoring_ || !received_at_ || has_left_ || is_unreachable_ ||
         now - *received_at_ >= heartbeat_timeout_)
         return backend_state::absent;
     const bool is_draining = says_leaving_ || last_.is_draining;
--- a/src/mesh/fleet_registration.cpp
+++ b/src/mesh/fleet_registration.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <set>
 #include <utility>
 
 namespace fulmarjunction {
@@ -40,6 +41,7 @@
     fleet_entry entry;
     entry.nodes = std::move(rows.value().nodes);
     entry.suspects = std::move(rows.value().suspects);
+    entry.departures = std::move(rows.value().departures);
     if (rows.value().secret) {
         entry.secret = std::move(*rows.value().secret);
         co_return entry;
@@ -103,6 +105,25 @@
     }
     if (!has_own_row && !is_leaving_)
         co_await restore_row();
+    co_await remove_old_departures(rows.value());
+}
+
+/// Removes the departures that nodes have left behind which no longer run.
+awaitable<void>
+fleet_registration::remove_old_departures(const fleet_rows& rows)
+{
+    std::set<instance_name> running;
+    for (const auto& row : rows.nodes)
+        running.insert(row.node);
+    for (const auto& departures : rows.departures) {
+        if (departures.age < departure_retention ||
+            running.contains(departures.node))
+            continue;
+        const auto removed = co_await deps_.store->remove_departures(
+            departures.node, departures.version);
+        log(log_level::info, "old_departures_removed",
+            {{"node", departures.node}, {"removed", removed.has_value()}});
+    }
 }
 
 awaitable<void> fleet_registration::restore_row()
--- a/src/mesh/fleet_registration.hpp
+++ b/src/mesh/fleet_registration.hpp
@@ -24,6 +24,8 @@
     std::vector<node_report> nodes;
     /// Requests that have crashed backend servers before.
     std::vector<stored_suspects> suspects;
+    /// Departures of backend servers that nodes have acknowledged before.
+    std::vector<stored_departures> departures;
 };
 
 /// Enters the node into the shared store, finds the other nodes there, keeps
@@ -59,6 +61,7 @@
 
 private:
     awaitable<void> check_rows();
+    awaitable<void> remove_old_departures(const fleet_rows& rows);
     awaitable<void> restore_row();
     awaitable<void> remove_row();
     awaitable<result<void>> write_row();
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -137,6 +137,7 @@
     };
     registration_ =
         std::make_unique<fleet_registration>(executor_, std::move(registering));
+    monitor_.begin_restore();
     monitor_.on_change = [this] { backend_changed(); };
     fleet_.on_change = [this] { reports_->refresh_targets(); };
     fleet_.on_report = [this](const node_report& report) {
@@ -210,7 +211,8 @@
              },
              [this](const backend_leave& leave) {
                  monitor_.receive(leave, clock::now());
-             }}),
+             },
+             [this] { return departure_archive_->wait_until_stored(); }}),
         refuse);
     create_components();
     metrics_server_ = std::make_unique<http_server>(
@@ -299,6 +301,14 @@
     suspect_archive_ =
         std::make_unique<suspect_archive>(executor_, std::move(archiving));
 
+    departure_archive::dependencies departing;
+    departing.store = adapter_.store.get();
+    departing.monitor = &monitor_;
+    departing.timers = &timers_;
+    departing.self = settings_.name;
+    departure_archive_ =
+        std::make_unique<departure_archive>(executor_, std::move(departing));
+
     forwarder::dependencies forwarding;
     forwarding.self = settings_.name;
     forwarding.fleet = &fleet_;
@@ -445,6 +455,7 @@
     asio::co_spawn(executor_, read_config(has_read), asio::detached);
     const auto entry = co_await registration_->enter();
     suspect_archive_->load(entry.suspects);
+    departure_archive_->load(entry.departures);
     const auto opened = open_peers(entry.secret);
     if (!opened) {
         log(log_level::error, "start_failed",
@@ -458,6 +469,7 @@
     link_->start();
     suspect_link_->start();
     suspect_archive_->start();
+    departure_archive_->start();
     co_await has_read.wait();
     follower_->start();
     asio::co_spawn(
--- a/src/mesh/mesh_node_impl.hpp
+++ b/src/mesh/mesh_node_impl.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "config_follower.hpp"
+#include "departure_archive.hpp"
 #include "fleet_registration.hpp"
 #include "fleet_reports.hpp"
 #include "suspect_archive.hpp"
@@ -94,6 +95,7 @@
     std::unique_ptr<fleet_link> link_;
     std::unique_ptr<suspect_link> suspect_link_;
     std::unique_ptr<suspect_archive> suspect_archive_;
+    std::unique_ptr<departure_archive> departure_archive_;
     std::unique_ptr<forwarder> forwarder_;
     std::unique_ptr<caller_entry> entry_;
     std::unique_ptr<http_server> callers_;
--- a/src/mesh/mesh_test.cpp
+++ b/src/mesh/mesh_test.cpp
@@ -256,6 +256,76 @@
         fj::heartbeat_verdict::accepted);
 }
 
+// Guards against a node that takes up a backend server again after its restart:
+// a heartbeat from before the leave arrives, or a health check is answered.
+TEST_CASE("a restored leave holds against heartbeats and health answers")
+{
+    auto before = make_monitor();
+    before.receive(make_heartbeat("a", 10, 7), start);
+    before.receive(fj::backend_leave{"a", std::nullopt}, start);
+    const auto known = before.departures(start);
+    REQUIRE(known.size() == 1);
+    CHECK(known[0].start_time_ms == 10);
+    auto monitor = make_monitor();
+    monitor.begin_restore();
+    monitor.restore(known, start);
+    monitor.receive(fj::backend_health{"a", 8}, start);
+    CHECK(monitor.state(start) == fj::backend_state::absent);
+    CHECK(
+        monitor.receive(make_heartbeat("a", 10, 8), start) ==
+        fj::heartbeat_verdict::outdated);
+    CHECK(
+        monitor.receive(make_heartbeat("a", 11, 1), start) ==
+        fj::heartbeat_verdict::accepted);
+    CHECK(monitor.state(start) == fj::backend_state::ready);
+    CHECK(monitor.departures(start + seconds(299)).size() == 1);
+    CHECK(monitor.departures(start + seconds(300)).empty());
+}
+
+// Guards against requests to a backend server between the start of its node and
+// the end of the read that tells which servers have left.
+TEST_CASE("no backend server is ready before the leaves are restored")
+{
+    const fj::backend_departure left{"a", 10, std::nullopt, start};
+    const fj::backend_departure draining{"a", 10, 7, start};
+    for (const auto& known : {left, draining}) {
+        auto monitor = make_monitor();
+        monitor.begin_restore();
+        monitor.receive(make_heartbeat("a", 10, 6), start);
+        CHECK(monitor.state(start) == fj::backend_state::absent);
+        monitor.restore({known}, start);
+        CHECK(monitor.state(start) == fj::backend_state::absent);
+    }
+    auto monitor = make_monitor();
+    monitor.begin_restore();
+    monitor.receive(make_heartbeat("a", 10, 6), start);
+    monitor.restore({}, start);
+    CHECK(monitor.state(start) == fj::backend_state::ready);
+}
+
+// Guards against a backend server that drains and is taken for ready again.
+TEST_CASE("a restored draining server stays unused until a later heartbeat")
+{
+    auto before = make_monitor();
+    before.receive(make_heartbeat("a", 10, 7, true), start);
+    before.receive(make_heartbeat("a", 10, 8, true), start);
+    const auto known = before.departures(start);
+    REQUIRE(known.size() == 1);
+    CHECK(known[0].sequence == 7U);
+    auto monitor = make_monitor();
+    monitor.restore(known, start);
+    monitor.receive(fj::backend_health{"a", 8}, start);
+    CHECK(
+        monitor.receive(make_heartbeat("a", 10, 6), start) ==
+        fj::heartbeat_verdict::outdated);
+    CHECK(monitor.state(start) == fj::backend_state::absent);
+    monitor.receive(make_heartbeat("a", 10, 9, true), start);
+    CHECK(monitor.state(start) == fj::backend_state::draining);
+    // It has left for good, even if a late heartbeat says that it drains.
+    monitor.receive(fj::backend_leave{"a", 10}, start);
+    CHECK_FALSE(monitor.departures(start)[0].sequence);
+}
+
 // Guards against a server that says in its answers that it leaves, and is taken
 // up again at its first heartbeat after a restart of its node.
 TEST_CASE("a first heartbeat does not undo what an answer says of its process")
--- a/src/mesh/mesh_test_fleet.hpp
+++ b/src/mesh/mesh_test_fleet.hpp
@@ -29,6 +29,7 @@
     fj::store_position position = 1;
     std::map<std::string, fj::node_report> nodes;
     std::map<std::string, std::string> suspects;
+    std::map<std::string, std::string> departures;
     std::string secret;
     fj::incarnation_number last_incarnation = 0;
     bool is_unavailable = false;
@@ -77,6 +78,8 @@
             known.nodes.push_back(report);
         for (const auto& [name, reports] : rows_->suspects)
             known.suspects.push_back({name, reports, {}});
+        for (const auto& [name, departures] : rows_->departures)
+            known.departures.push_back({name, departures, {}, 0});
         co_return known;
     }
 
@@ -117,6 +120,25 @@
         co_return boost::outcome_v2::success();
     }
 
+    fj::awaitable<fj::result<void>> put_departures(
+        const fj::instance_name& node, const std::string& departures) override
+    {
+        if (rows_->is_unavailable)
+            co_return fj::fail(fj::errc::unavailable, "put departures");
+        if (departures.empty())
+            rows_->departures.erase(node);
+        else
+            rows_->departures[node] = departures;
+        co_return boost::outcome_v2::success();
+    }
+
+    fj::awaitable<fj::result<void>> remove_departures(
+        const fj::instance_name& node, fj::store_position) override
+    {
+        rows_->departures.erase(node);
+        co_return boost::outcome_v2::success();
+    }
+
     fj::awaitable<fj::result<void>>
     remove_node(const fj::instance_name& node, fj::store_position) override
     {
