Tests: departures of nodes that are gone; comments

"old departures of nodes that are gone are removed" covers fleet_registration: rows are kept for departure_retention, those of running nodes for as long as these keep them. Comments of request_prints and backend_monitor say more. No change of what runs.

--- a/include/fulmarjunction/mesh/backend_monitor.hpp
+++ b/include/fulmarjunction/mesh/backend_monitor.hpp
@@ -145,6 +145,7 @@
     std::optional<time_point> received_at_;
     /// The last processes that have announced their end, the newest at the end.
     std::deque<backend_departure> departed_;
+    /// Whether the departures of an earlier run are still being read.
     bool is_restoring_ = false;
     bool has_left_ = false;
     bool says_leaving_ = false;
--- a/include/fulmarjunction/suspects/suspects.hpp
+++ b/include/fulmarjunction/suspects/suspects.hpp
@@ -32,7 +32,8 @@
 /// Fingerprints of one request.
 struct request_prints
 {
-    /// @param print fingerprint that covers the caller as well
+    /// Converts a single fingerprint, which covers the caller as well: an
+    /// answer then clears the crashes for all requests that share it.
     request_prints(fingerprint print) : content(print), caller(print) {}
 
     request_prints(fingerprint content_print, fingerprint caller_print)
--- a/src/mesh/leaving_server_test.cpp
+++ b/src/mesh/leaving_server_test.cpp
@@ -28,3 +28,25 @@
         CHECK(answer.status == 200);
     CHECK(leaving.runs == 0);
 }
+
+// Guards against rows that pile up in the store, one for each node that has
+// ended after its backend server, and against the loss of those still needed.
+TEST_CASE("old departures of nodes that are gone are removed")
+{
+    auto& fleet = make_fleet();
+    auto& stored = fleet.rows->departures;
+    fleet.rows->departures_age = fj::departure_retention - fj::seconds(1);
+    stored["gone"] = "[]";
+    const auto wait_for_row_check = [] {
+        const auto until = fj::clock::now() + fj::seconds(3);
+        run_until([&] { return fj::clock::now() >= until; });
+    };
+    wait_for_row_check();
+    CHECK(stored.contains("gone"));
+    fleet.rows->departures_age = fj::departure_retention;
+    // Each node removes its own.
+    stored["n1"] = "[]";
+    run_until([&] { return !stored.contains("gone"); });
+    wait_for_row_check();
+    CHECK(stored.contains("n1"));
+}
--- a/src/mesh/mesh_test_fleet.hpp
+++ b/src/mesh/mesh_test_fleet.hpp
@@ -30,6 +30,8 @@
     std::map<std::string, fj::node_report> nodes;
     std::map<std::string, std::string> suspects;
     std::map<std::string, std::string> departures;
+    /// Time since the departures were stored.
+    fj::duration departures_age{};
     std::string secret;
     fj::incarnation_number last_incarnation = 0;
     bool is_unavailable = false;
@@ -79,7 +81,8 @@
         for (const auto& [name, reports] : rows_->suspects)
             known.suspects.push_back({name, reports, {}});
         for (const auto& [name, departures] : rows_->departures)
-            known.departures.push_back({name, departures, {}, 0});
+            known.departures.push_back(
+                {name, departures, rows_->departures_age, 0});
         co_return known;
     }
 
