--- a/src/mesh/fleet_registration.cpp
+++ b/src/mesh/fleet_registration.cpp
@@ -108,7 +108,7 @@
     co_await remove_old_departures(rows.value());
 }
 
-/// Removes the departures that nodes have left behind which no longer run.
+/// Removes the old departures of nodes that no longer run.
 awaitable<void>
 fleet_registration::remove_old_departures(const fleet_rows& rows)
 {
