--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -15,6 +15,8 @@
   endif()
   if(sources)
     add_library(fulmar_${name} STATIC ${sources})
+    # The id must be recorded before any object is built.
+    add_dependencies(fulmar_${name} fulmar_source_id)
     set(visibility PUBLIC)
   else()
     add_library(fulmar_${name} INTERFACE)
--- a/src/ctl/fulmarctl_main.cpp
+++ b/src/ctl/fulmarctl_main.cpp
@@ -1,5 +1,6 @@
 #include <fulmarjunction/core/address.hpp>
 #include <fulmarjunction/core/field_reader.hpp>
+#include <fulmarjunction/core/version.hpp>
 #include <fulmarjunction/ctl/commands.hpp>
 #include <fulmarjunction/http/http.hpp>
 #include <fulmarjunction/platform/http_platform.hpp>
@@ -37,6 +38,7 @@
     const char* node = "";
     int json = 0;
     int help = 0;
+    int version = 0;
     int timeout_ms = 2000;
     int limit = 20;
     int wait_s = 0;
@@ -72,6 +74,7 @@
         {"node", 0, POPT_ARG_STRING, &raw.node, 0, {}, {}},
         {"json", 0, POPT_ARG_NONE, &raw.json, 0, {}, {}},
         {"help", 'h', POPT_ARG_NONE, &raw.help, 0, {}, {}},
+        {"version", 'V', POPT_ARG_NONE, &raw.version, 0, {}, {}},
         {"timeout-ms", 0, POPT_ARG_INT, &raw.timeout_ms, 0, {}, {}},
         {"limit", 0, POPT_ARG_INT, &raw.limit, 0, {}, {}},
         {"wait", 0, POPT_ARG_INT, &raw.wait_s, 0, {}, {}},
@@ -113,6 +116,7 @@
         "  --wait SECONDS        wait for all nodes (keys withdraw)\n"
         "  --timeout-ms MS       time limit of one call (default 2000)\n"
         "  --json                print one JSON document\n"
+        "  --version             print the version and the id of the sources\n"
         "\nExit status: 0 done, 1 failed, 2 usage error, 3 conflict with "
         "another\noperator, 4 outcome unknown, 5 not confirmed by all "
         "nodes.\n");
@@ -316,6 +320,12 @@
     const auto line = read_command_line(argc, argv);
     if (line.raw.help != 0)
         return print_help(line.words);
+    if (line.raw.version != 0) {
+        fmt::print(
+            "fulmarctl {}, source {}\n", fj::program_version(),
+            fj::source_id());
+        return to_int(fj::exit_status::ok);
+    }
     const auto* command = fj::find_command(line.words);
     if (command == nullptr)
         exit_usage("unknown command; see fulmarctl --help");
--- a/src/daemon/fulmard_main.cpp
+++ b/src/daemon/fulmard_main.cpp
@@ -4,6 +4,7 @@
 #include <fulmarjunction/core/log.hpp>
 #include <fulmarjunction/core/log_output.hpp>
 #include <fulmarjunction/core/run_context.hpp>
+#include <fulmarjunction/core/version.hpp>
 #include <fulmarjunction/daemon/node.hpp>
 #include <fulmarjunction/mesh/mesh_node.hpp>
 #include <fulmarjunction/settings/settings.hpp>
@@ -36,6 +37,7 @@
     bool is_mesh = false;
     bool check_only = false;
     bool print_reference = false;
+    bool print_version = false;
 };
 
 /// Returns the parsed command line and `exit_ok`, or an exit code for a usage
@@ -46,6 +48,7 @@
     char* checked_file = nullptr;
     char* mesh_file = nullptr;
     int reference = 0;
+    int version = 0;
     const poptOption options[] = {
         {"settings", 's', POPT_ARG_STRING, &settings_file, 0,
          "run with the settings in FILE", "FILE"},
@@ -57,6 +60,8 @@
          "check FILE and exit, with exit code 2 if it is not valid", "FILE"},
         {"settings-reference", 0, POPT_ARG_NONE, &reference, 0,
          "print every setting with its unit, range and default", nullptr},
+        {"version", 'V', POPT_ARG_NONE, &version, 0,
+         "print the version and the id of the sources", nullptr},
         POPT_AUTOHELP POPT_TABLEEND};
     const std::unique_ptr<poptContext_s, poptContext (*)(poptContext)> context(
         poptGetContext("fulmard", argc, argv, options, 0), poptFreeContext);
@@ -71,6 +76,7 @@
         return {parsed, exit_bad_settings};
     }
     parsed.print_reference = reference != 0;
+    parsed.print_version = version != 0;
     parsed.check_only = checked_file != nullptr;
     if (parsed.check_only)
         parsed.settings_file = checked_file;
@@ -79,7 +85,8 @@
     else if (mesh_file != nullptr)
         parsed.settings_file = mesh_file;
     parsed.is_mesh = mesh_file != nullptr;
-    if (parsed.settings_file.empty() && !parsed.print_reference) {
+    const bool is_run = !parsed.print_reference && !parsed.print_version;
+    if (parsed.settings_file.empty() && is_run) {
         fmt::print(stderr, "fulmard: --settings FILE is required\n");
         return {parsed, exit_bad_settings};
     }
@@ -128,10 +135,19 @@
     return is_forced ? exit_failed : exit_ok;
 }
 
+/// Logs which code runs.
+void log_version()
+{
+    fj::log(
+        fj::log_level::info, "starting",
+        {{"version", fj::program_version()}, {"source", fj::source_id()}});
+}
+
 int run(fj::node_settings settings)
 {
     boost::asio::io_context context(1);
     fj::set_log_level(settings.log.level);
+    log_version();
     fj::node node(context, std::move(settings));
     return run_node(context, node, [] {
         fj::log(
@@ -162,6 +178,7 @@
     fj::log_output output(STDOUT_FILENO);
     fj::set_log_sink([&output](std::string_view line) { output.add(line); });
     fj::set_log_budget(settings.value().log_lines);
+    log_version();
     boost::asio::io_context context(1);
     auto adapter =
         fj::adapter::make_adapter(context.get_executor(), settings.value());
@@ -183,6 +200,11 @@
         read_command_line(argc, const_cast<const char**>(argv));
     if (code != exit_ok)
         return code;
+    if (parsed.print_version) {
+        fmt::print(
+            "fulmard {}, source {}\n", fj::program_version(), fj::source_id());
+        return exit_ok;
+    }
     if (parsed.print_reference) {
         fmt::print("{}", fj::settings_reference());
         return exit_ok;
