Tests: processes that run side by side claim different ports

Seen once: of two mesh_test processes side by side one ended with three failures, `REQUIRE( backend->listen(settings.backend) )` and a SIGSEGV after it. Cause: the ports of a process began at 97 times its id, and the tests use many more than 97, so that a port that was free when it was chosen was taken by the other process before its use. A process now locks a file for each block of ports until it ends.

--- a/src/test_main/transport_test_support.hpp
+++ b/src/test_main/transport_test_support.hpp
@@ -18,8 +18,11 @@
 #include <openssl/evp.h>
 #include <openssl/x509.h>
 
+#include <fcntl.h>
+#include <sys/file.h>
 #include <unistd.h>
 
+#include <filesystem>
 #include <memory>
 #include <optional>
 #include <stdexcept>
@@ -44,15 +47,54 @@
     return context;
 }
 
-/// Returns a free address. Its port lies below the ephemeral ports, so that no
-/// outgoing connection takes it in the meantime.
+/// Returns ports that no other test process gets, below the ephemeral ports, so
+/// that no outgoing connection takes them either.
+///
+/// A port that a test has found to be free is in use only later, so processes
+/// that run at the same time claim blocks of ports by locking a file for each.
+class port_claims
+{
+public:
+    unsigned next()
+    {
+        if (used_ == ports_per_block)
+            claim_block();
+        return first_port + block_ * ports_per_block + used_++;
+    }
+
+private:
+    static constexpr unsigned first_port = 12'000;
+    static constexpr unsigned ports_per_block = 100;
+    static constexpr unsigned blocks = 180;
+
+    /// Claims the next free block until the process ends.
+    void claim_block()
+    {
+        for (unsigned tried = 0; tried < blocks; ++tried) {
+            block_ = (block_ + 1) % blocks;
+            const auto path = std::filesystem::temp_directory_path() /
+                              ("fulmar-ports-" + std::to_string(block_));
+            const int file =
+                ::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0666);
+            if (file >= 0 && ::flock(file, LOCK_EX | LOCK_NB) == 0) {
+                used_ = 0;
+                return;
+            }
+            ::close(file);
+        }
+        throw std::runtime_error("all ports are claimed by other tests");
+    }
+
+    unsigned block_ = static_cast<unsigned>(getpid()) % blocks;
+    unsigned used_ = ports_per_block;
+};
+
+/// Returns a free address.
 inline tcp::endpoint free_address()
 {
-    constexpr unsigned first_port = 12'000;
-    constexpr unsigned ports = 18'000;
-    static auto next = static_cast<unsigned>(getpid()) * 97;
+    static port_claims claims;
     for (;;) {
-        const auto port = first_port + next++ % ports;
+        const auto port = claims.next();
         tcp::acceptor acceptor(io());
         tcp::endpoint address(
             asio::ip::address_v4::loopback(),
