mesh: other nodes keep the departures that a node has acknowledged

Cause: the row in the store was the only place outside the process that knew of the departure, and it was not written in time. The other nodes saw the server as absent, but did not know why, and took a later `ready` of the restarted node.

Evidence: log of the node: departures_not_stored twice, departure_not_stored_in_time, then backend_changed state=ready after the late heartbeat.

Change: a node sends its departures to eight other nodes, chosen by rendezvous hashing of its name, until they are acknowledged. At its start it asks sixteen for its own, and takes no backend server for ready before they have answered, or failed, or 0.3 s have passed; those that fail are asked again for 30 s. The list of departures and their wire form moved to departures.hpp, which both places and the monitor use.

Why it works: the fact outlives the process at nodes that do not depend on the store, and merging keeps the entry that says the most, so the order of the sources does not matter.

--- a/include/fulmarjunction/mesh/backend_monitor.hpp
+++ b/include/fulmarjunction/mesh/backend_monitor.hpp
@@ -5,10 +5,10 @@
 #include <fulmarjunction/core/names.hpp>
 #include <fulmarjunction/core/time.hpp>
 #include <fulmarjunction/fleet/fleet_view.hpp>
+#include <fulmarjunction/mesh/departures.hpp>
 #include <fulmarjunction/mesh/wire_format.hpp>
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <optional>
 #include <string>
@@ -41,22 +41,6 @@
     std::optional<std::int64_t> start_time_ms;
 };
 
-/// Time after which no heartbeat from before a departure can arrive.
-inline constexpr seconds departure_retention(300);
-
-/// A process that has announced that it ends. Its node remembers it over its
-/// own restarts, since heartbeats from before may still be on their way.
-struct backend_departure
-{
-    std::string id;
-    /// Start of the process, if known.
-    std::optional<std::int64_t> start_time_ms;
-    /// Sequence number of the heartbeat that said so. Earlier ones are ignored;
-    /// without a number, the process has left and all of them are.
-    std::optional<std::uint64_t> sequence;
-    time_point announced_at;
-};
-
 /// Result of processing a heartbeat.
 enum class heartbeat_verdict
 {
@@ -92,11 +76,13 @@
     /// draining backend server may still report that it is healthy.
     void receive(const backend_health& health, time_point now);
 
-    /// Takes no backend server for ready until `restore` has been called.
+    /// Takes no backend server for ready until `end_restore` has been called.
     void begin_restore() { is_restoring_ = true; }
+    void end_restore();
 
-    /// Adds the departures that an earlier run of this node has acknowledged.
-    /// Also applies to what has been received since the start of this run.
+    /// Adds departures that an earlier run of this node has acknowledged, also
+    /// after `end_restore`. Applies to what has been received since the start
+    /// of this run as well.
     void
     restore(const std::vector<backend_departure>& departures, time_point now);
 
@@ -135,7 +121,6 @@
     bool is_newer(const backend_heartbeat& beat) const;
     bool is_other_process(const backend_heartbeat& beat) const;
     bool has_departed(const backend_heartbeat& beat, time_point now) const;
-    void record_departure(backend_departure departure);
     void record_draining(const backend_heartbeat& beat, time_point now);
 
     service_name service_;
@@ -143,8 +128,8 @@
     duration heartbeat_timeout_;
     backend_heartbeat last_;
     std::optional<time_point> received_at_;
-    /// The last processes that have announced their end, the newest at the end.
-    std::deque<backend_departure> departed_;
+    /// The last processes that have announced their end.
+    departure_list departed_;
     /// Whether the departures of an earlier run are still being read.
     bool is_restoring_ = false;
     bool has_left_ = false;
--- a/src/mesh/backend_monitor.cpp
+++ b/src/mesh/backend_monitor.cpp
@@ -17,10 +17,6 @@
 /// Start of a process that is known only from a health check.
 constexpr std::int64_t unknown_start = 0;
 
-/// Processes that leave follow each other by seconds, and a heartbeat is late
-/// by seconds, so that few are of interest at a time.
-constexpr std::size_t max_departed = 16;
-
 } // namespace
 
 std::string_view to_string(heartbeat_verdict value)
@@ -73,26 +69,8 @@
             return false;
         return !gone.sequence || beat.sequence < *gone.sequence;
     };
-    return std::any_of(departed_.begin(), departed_.end(), covers);
-}
-
-/// Adds a departure in place of an earlier one of the same process. One that
-/// has left can't be draining any more.
-void backend_monitor::record_departure(backend_departure departure)
-{
-    const auto known = std::find_if(
-        departed_.begin(), departed_.end(), [&](const auto& other) {
-            return other.id == departure.id &&
-                   other.start_time_ms == departure.start_time_ms;
-        });
-    if (known != departed_.end()) {
-        if (departure.sequence && !known->sequence)
-            return;
-        departed_.erase(known);
-    }
-    departed_.push_back(std::move(departure));
-    if (departed_.size() > max_departed)
-        departed_.pop_front();
+    const auto& departures = departed_.all();
+    return std::any_of(departures.begin(), departures.end(), covers);
 }
 
 /// Records the first heartbeat of a process that says that it drains.
@@ -102,7 +80,14 @@
     backend_departure departure{beat.id, std::nullopt, beat.sequence, now};
     if (beat.start_time_ms != unknown_start)
         departure.start_time_ms = beat.start_time_ms;
-    record_departure(std::move(departure));
+    departed_.record(std::move(departure));
+}
+
+void backend_monitor::end_restore()
+{
+    is_restoring_ = false;
+    if (received_at_ && on_change)
+        on_change();
 }
 
 void backend_monitor::restore(
@@ -111,25 +96,18 @@
     // Those of this run are newer.
     const auto of_this_run = std::exchange(departed_, {});
     for (const auto& departure : departures)
-        record_departure(departure);
-    for (const auto& departure : of_this_run)
-        record_departure(departure);
-    is_restoring_ = false;
-    if (!received_at_)
-        return;
-    has_left_ = has_left_ || has_departed(last_, now);
-    if (on_change)
+        departed_.record(departure);
+    for (const auto& departure : of_this_run.all())
+        departed_.record(departure);
+    const bool had_left = has_left_;
+    has_left_ = has_left_ || (received_at_ && has_departed(last_, now));
+    if (has_left_ != had_left && on_change)
         on_change();
 }
 
 std::vector<backend_departure> backend_monitor::departures(time_point now) const
 {
-    std::vector<backend_departure> kept;
-    for (const auto& departure : departed_) {
-        if (now - departure.announced_at < departure_retention)
-            kept.push_back(departure);
-    }
-    return kept;
+    return departed_.recent(now);
 }
 
 heartbeat_verdict
@@ -163,7 +141,7 @@
     if (!start_time_ms && leave.id == last_.id &&
         last_.start_time_ms != unknown_start)
         start_time_ms = last_.start_time_ms;
-    record_departure({leave.id, start_time_ms, std::nullopt, now});
+    departed_.record({leave.id, start_time_ms, std::nullopt, now});
     if (!received_at_ || leave.id != last_.id)
         return;
     if (last_.start_time_ms != unknown_start && leave.start_time_ms &&
--- a/src/mesh/departure_archive.hpp
+++ b/src/mesh/departure_archive.hpp
@@ -57,14 +57,4 @@
     timer_service::subscription ticks_;
 };
 
-/// Returns the JSON form in which departures are stored.
-std::string format_departures(
-    const std::vector<backend_departure>& departures, time_point now);
-
-/// Parses stored departures.
-/// @param stored_at when they were stored
-/// @return `errc::malformed` when a field is missing or out of range
-result<std::vector<backend_departure>>
-parse_departures(std::string_view text, time_point stored_at);
-
 } // namespace fulmarjunction
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -50,6 +50,8 @@
 /// all of its backend servers to one request.
 constexpr seconds suspect_trial_delay(10);
 
+constexpr std::string_view control_prefix = "/control/";
+
 constexpr std::size_t max_pipelined = 16;
 constexpr std::size_t max_caller_connections = 3000;
 
@@ -212,7 +214,10 @@
              [this](const backend_leave& leave) {
                  monitor_.receive(leave, clock::now());
              },
-             [this] { return departure_archive_->wait_until_stored(); }}),
+             [this] {
+                 departure_link_->announce();
+                 return departure_archive_->wait_until_stored();
+             }}),
         refuse);
     create_components();
     metrics_server_ = std::make_unique<http_server>(
@@ -309,6 +314,14 @@
     departure_archive_ =
         std::make_unique<departure_archive>(executor_, std::move(departing));
 
+    departure_link::dependencies copying;
+    copying.fleet = &fleet_;
+    copying.monitor = &monitor_;
+    copying.timers = &timers_;
+    copying.peers = [this] { return peer_client_.get(); };
+    departure_link_ =
+        std::make_unique<departure_link>(executor_, std::move(copying));
+
     forwarder::dependencies forwarding;
     forwarding.self = settings_.name;
     forwarding.fleet = &fleet_;
@@ -470,6 +483,8 @@
     suspect_link_->start();
     suspect_archive_->start();
     departure_archive_->start();
+    departure_link_->start();
+    asio::co_spawn(executor_, restore_departures(), asio::detached);
     co_await has_read.wait();
     follower_->start();
     asio::co_spawn(
@@ -481,6 +496,14 @@
          {"life", reports_->incarnation()}});
 }
 
+/// Reads the departures that other nodes keep for this one. Only then a backend
+/// server may count as ready.
+awaitable<void> mesh_node::impl::restore_departures()
+{
+    co_await departure_link_->read_copies();
+    monitor_.end_restore();
+}
+
 /// Returns a time that is random, so that nodes that start together don't read
 /// the store together, and longer in large fleets, whose reads are larger.
 duration mesh_node::impl::row_check_period()
@@ -523,22 +546,31 @@
     co_return answer;
 }
 
+/// Answers a control message of another node.
+awaitable<streamed_response>
+mesh_node::impl::serve_control(peer_request request)
+{
+    auto& message = request.message;
+    const auto name = message.target.substr(control_prefix.size());
+    auto text = co_await read_body(std::move(message.body), max_control_bytes);
+    if (!text)
+        co_return make_control_answer(text);
+    if (name == suspects_message)
+        co_return make_control_answer(suspect_link_->receive(text.value()));
+    if (name == departures_message)
+        co_return make_control_answer(
+            departure_link_->receive(request.from, text.value()));
+    if (name == departures_query)
+        co_return make_control_answer(departure_link_->copies_of(request.from));
+    co_return make_control_answer(link_->handle_message(name, text.value()));
+}
+
 awaitable<streamed_response> mesh_node::impl::serve_peer(peer_request request)
 {
     auto& message = request.message;
-    constexpr std::string_view control_prefix = "/control/";
     const auto host = find_header(message.headers, "host");
-    if (host == "control" && message.target.starts_with(control_prefix)) {
-        const auto name = message.target.substr(control_prefix.size());
-        auto text =
-            co_await read_body(std::move(message.body), max_control_bytes);
-        if (!text)
-            co_return make_control_answer(text);
-        if (name == suspects_message)
-            co_return make_control_answer(suspect_link_->receive(text.value()));
-        co_return make_control_answer(
-            link_->handle_message(name, text.value()));
-    }
+    if (host == "control" && message.target.starts_with(control_prefix))
+        co_return co_await serve_control(std::move(request));
     auto context = take_call_context(message.headers, clock::now());
     if (!context) {
         log(log_level::warning, "call_malformed",
--- a/src/mesh/mesh_node_impl.hpp
+++ b/src/mesh/mesh_node_impl.hpp
@@ -4,6 +4,7 @@
 
 #include "config_follower.hpp"
 #include "departure_archive.hpp"
+#include "departure_link.hpp"
 #include "fleet_registration.hpp"
 #include "fleet_reports.hpp"
 #include "suspect_archive.hpp"
@@ -55,11 +56,13 @@
     void probe_processor();
     void record_timer_delay(duration delay, time_point now);
     awaitable<void> join();
+    awaitable<void> restore_departures();
     void apply_limits(const connection_limits& limits);
     awaitable<void> read_config(cancel_event has_read);
     awaitable<void> query_backend_health();
     result<void> open_peers(const std::string& secret);
     awaitable<streamed_response> serve_peer(peer_request request);
+    awaitable<streamed_response> serve_control(peer_request request);
     awaitable<streamed_response> serve_metrics(http_request request);
     void leave_fleet();
     awaitable<void> run_stop(std::function<void()> on_stopped);
@@ -96,6 +99,7 @@
     std::unique_ptr<suspect_link> suspect_link_;
     std::unique_ptr<suspect_archive> suspect_archive_;
     std::unique_ptr<departure_archive> departure_archive_;
+    std::unique_ptr<departure_link> departure_link_;
     std::unique_ptr<forwarder> forwarder_;
     std::unique_ptr<caller_entry> entry_;
     std::unique_ptr<http_server> callers_;
--- a/src/mesh/mesh_test.cpp
+++ b/src/mesh/mesh_test.cpp
@@ -269,6 +269,7 @@
     auto monitor = make_monitor();
     monitor.begin_restore();
     monitor.restore(known, start);
+    monitor.end_restore();
     monitor.receive(fj::backend_health{"a", 8}, start);
     CHECK(monitor.state(start) == fj::backend_state::absent);
     CHECK(
@@ -295,11 +296,23 @@
         CHECK(monitor.state(start) == fj::backend_state::absent);
         monitor.restore({known}, start);
         CHECK(monitor.state(start) == fj::backend_state::absent);
+        monitor.end_restore();
+        CHECK(monitor.state(start) == fj::backend_state::absent);
+        // Another node may tell of it late.
+        auto early = make_monitor();
+        early.begin_restore();
+        early.receive(make_heartbeat("a", 10, 6), start);
+        early.end_restore();
+        CHECK(early.state(start) == fj::backend_state::ready);
+        early.restore({known}, start);
+        CHECK(early.state(start) == fj::backend_state::absent);
     }
     auto monitor = make_monitor();
     monitor.begin_restore();
     monitor.receive(make_heartbeat("a", 10, 6), start);
     monitor.restore({}, start);
+    CHECK(monitor.state(start) == fj::backend_state::absent);
+    monitor.end_restore();
     CHECK(monitor.state(start) == fj::backend_state::ready);
 }
 
