mesh: a health answer counts before other nodes have told of departures

Cause: a node that starts waited up to 0.3 s for other nodes before any backend server was ready. When machines lose power together most of the others do not answer.

Change: the wait holds for heartbeats only. A heartbeat may be from before a departure; the answer to a health check that this run has sent is newer than its start, and a backend server that leaves does not answer it with 200. So such an answer counts as soon as the rows have been read, and the check is also made when a heartbeat came first. If another node tells of a departure after that, it holds.

Test: "a health answer counts before other nodes have told of leaves", which fails to build before.

--- a/include/fulmarjunction/mesh/backend_monitor.hpp
+++ b/include/fulmarjunction/mesh/backend_monitor.hpp
@@ -72,12 +72,21 @@
     void receive(const backend_leave& leave, time_point now);
 
     /// Processes the answer to a health check. It only counts until the first
-    /// heartbeat, since it does not contain the start of the process, and a
-    /// draining backend server may still report that it is healthy.
+    /// heartbeat or `end_restore`, since it does not contain the start of the
+    /// process, and a draining backend server may still report that it is
+    /// healthy.
     void receive(const backend_health& health, time_point now);
 
-    /// Takes no backend server for ready until `end_restore` has been called.
-    void begin_restore() { is_restoring_ = true; }
+    /// Takes no backend server for ready until the departures of an earlier run
+    /// have been read from the store, see `end_store_restore`.
+    void begin_restore() { restoring_from_ = departure_source::store; }
+
+    /// From now on a health answer makes a backend server ready, since it is
+    /// newer than the start of this run. A heartbeat may be older, and does
+    /// so only after `end_restore`.
+    void end_store_restore();
+
+    /// The other nodes have been asked as well.
     void end_restore();
 
     /// Adds departures that an earlier run of this node has acknowledged, also
@@ -90,8 +99,12 @@
     /// the oldest first.
     std::vector<backend_departure> departures(time_point now) const;
 
-    /// Returns whether no heartbeat or health answer has arrived yet.
-    bool is_unknown() const { return !received_at_; }
+    /// Returns whether a health answer would count: no heartbeat has arrived
+    /// yet, or one that does not count before `end_restore`.
+    bool needs_health() const
+    {
+        return !received_at_ || restoring_from_ != departure_source::none;
+    }
 
     /// Records that an answer of a process says that it leaves. It takes no new
     /// requests from then on, whatever its heartbeats say.
@@ -118,6 +131,16 @@
     std::function<void()> on_change;
 
 private:
+    /// Where departures of an earlier run are still being read.
+    enum class departure_source
+    {
+        none,
+        store,
+        nodes
+    };
+
+    bool is_restoring() const;
+    void set_restoring_from(departure_source source);
     bool is_newer(const backend_heartbeat& beat) const;
     bool is_other_process(const backend_heartbeat& beat) const;
     bool has_departed(const backend_heartbeat& beat, time_point now) const;
@@ -130,8 +153,9 @@
     std::optional<time_point> received_at_;
     /// The last processes that have announced their end.
     departure_list departed_;
-    /// Whether the departures of an earlier run are still being read.
-    bool is_restoring_ = false;
+    departure_source restoring_from_ = departure_source::none;
+    /// Id of the process that has answered a health check in this run.
+    std::string healthy_id_;
     bool has_left_ = false;
     bool says_leaving_ = false;
     bool is_unreachable_ = false;
--- a/src/mesh/backend_monitor.cpp
+++ b/src/mesh/backend_monitor.cpp
@@ -83,13 +83,30 @@
     departed_.record(std::move(departure));
 }
 
-void backend_monitor::end_restore()
+bool backend_monitor::is_restoring() const
+{
+    if (restoring_from_ == departure_source::nodes)
+        return last_.id != healthy_id_;
+    return restoring_from_ == departure_source::store;
+}
+
+void backend_monitor::set_restoring_from(departure_source source)
 {
-    is_restoring_ = false;
+    restoring_from_ = source;
     if (received_at_ && on_change)
         on_change();
 }
 
+void backend_monitor::end_store_restore()
+{
+    set_restoring_from(departure_source::nodes);
+}
+
+void backend_monitor::end_restore()
+{
+    set_restoring_from(departure_source::none);
+}
+
 void backend_monitor::restore(
     const std::vector<backend_departure>& departures, time_point now)
 {
@@ -155,6 +172,9 @@
 
 void backend_monitor::receive(const backend_health& health, time_point now)
 {
+    healthy_id_ = health.id;
+    if (received_at_ && restoring_from_ == departure_source::nodes && on_change)
+        on_change();
     backend_heartbeat first;
     first.id = health.id;
     first.service = service_;
@@ -187,7 +207,7 @@
 
 backend_state backend_monitor::state(time_point now) const
 {
-    if (is_restoring_ || !received_at_ || has_left_ || is_unreachable_ ||
+    if (is_restoring() || !received_at_ || has_left_ || is_unreachable_ ||
         now - *received_at_ >= heartbeat_timeout_)
         return backend_state::absent;
     const bool is_draining = says_leaving_ || last_.is_draining;
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -452,7 +452,7 @@
     const bool is_too_late =
         clock::now() - started_at_ > settings_.heartbeat_period;
     if (is_too_late || is_stopping_ || !config_.current() ||
-        !monitor_.is_unknown())
+        !monitor_.needs_health())
         co_return;
     const auto path = config_.current()->health_path(settings_.service);
     if (path.empty())
@@ -469,6 +469,7 @@
     const auto entry = co_await registration_->enter();
     suspect_archive_->load(entry.suspects);
     departure_archive_->load(entry.departures);
+    monitor_.end_store_restore();
     const auto opened = open_peers(entry.secret);
     if (!opened) {
         log(log_level::error, "start_failed",
@@ -496,8 +497,8 @@
          {"life", reports_->incarnation()}});
 }
 
-/// Reads the departures that other nodes keep for this one. Only then a backend
-/// server may count as ready.
+/// Reads the departures that other nodes keep for this one. Only then a
+/// heartbeat makes the backend server ready.
 awaitable<void> mesh_node::impl::restore_departures()
 {
     co_await departure_link_->read_copies();
--- a/src/mesh/mesh_test.cpp
+++ b/src/mesh/mesh_test.cpp
@@ -316,6 +316,41 @@
     CHECK(monitor.state(start) == fj::backend_state::ready);
 }
 
+// Guards against a node that serves nothing for as long as other nodes don't
+// answer, after all have been lost, and against a late heartbeat meanwhile.
+TEST_CASE("a health answer counts before other nodes have told of leaves")
+{
+    auto monitor = make_monitor();
+    monitor.begin_restore();
+    monitor.receive(fj::backend_health{"a", 8}, start);
+    CHECK(monitor.state(start) == fj::backend_state::absent);
+    monitor.end_store_restore();
+    CHECK(monitor.state(start) == fj::backend_state::ready);
+    monitor.receive(make_heartbeat("a", 10, 7), start);
+    CHECK(monitor.state(start) == fj::backend_state::ready);
+    monitor.restore({{"a", 10, std::nullopt, start}}, start);
+    CHECK(monitor.state(start) == fj::backend_state::absent);
+
+    auto without_health = make_monitor();
+    without_health.begin_restore();
+    without_health.receive(make_heartbeat("a", 10, 7), start);
+    without_health.end_store_restore();
+    CHECK(without_health.state(start) == fj::backend_state::absent);
+    without_health.end_restore();
+    CHECK(without_health.state(start) == fj::backend_state::ready);
+
+    // The first heartbeat may come before the health answer.
+    auto early_heartbeat = make_monitor();
+    early_heartbeat.begin_restore();
+    early_heartbeat.receive(make_heartbeat("a", 10, 7), start);
+    early_heartbeat.end_store_restore();
+    CHECK(early_heartbeat.needs_health());
+    early_heartbeat.receive(fj::backend_health{"b", 8}, start);
+    CHECK(early_heartbeat.state(start) == fj::backend_state::absent);
+    early_heartbeat.receive(fj::backend_health{"a", 8}, start);
+    CHECK(early_heartbeat.state(start) == fj::backend_state::ready);
+}
+
 // Guards against a backend server that drains and is taken for ready again.
 TEST_CASE("a restored draining server stays unused until a later heartbeat")
 {
