--- a/review/12/run.sh
+++ /dev/null
@@ -1,4 +0,0 @@
-#!/bin/bash
-# See claim.txt. TROUBLE=0 plays the same without the disruption.
-folder=$(dirname "$0")
-exec "$folder/../standins-3/run-script" restart_quota "$folder"
