--- a/review/standins-3/standins.hpp
+++ b/review/standins-3/standins.hpp
@@ -54,6 +54,13 @@
     return duration<double>(steady_clock::now() - start).count();
 }
 
+inline std::int64_t unix_time_ms()
+{
+    using namespace std::chrono;
+    return duration_cast<milliseconds>(system_clock::now().time_since_epoch())
+        .count();
+}
+
 inline void sleep_s(double time)
 {
     if (time > 0)
@@ -364,6 +371,30 @@
             reset_all();
     }
 
+    /// Ends like a process that crashes, and listens again after a while.
+    /// @param before_return runs before the address is in use again
+    void crash(double down_s, const std::function<void()>& before_return)
+    {
+        {
+            const std::lock_guard lock(mutex_);
+            if (is_down_)
+                return;
+            is_down_ = true;
+        }
+        ::shutdown(fd_, SHUT_RDWR);
+        ::close(fd_);
+        reset_all();
+        std::thread([this, down_s, before_return] {
+            sleep_s(down_s);
+            before_return();
+            int fd = -1;
+            while ((fd = listen_on_loopback(port_)) < 0)
+                sleep_s(0.05);
+            fd_ = fd;
+            is_down_ = false;
+        }).detach();
+    }
+
     void reset_all()
     {
         const std::lock_guard lock(mutex_);
@@ -375,9 +406,12 @@
     void accept_all()
     {
         for (;;) {
-            const int fd = ::accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC);
-            if (fd < 0)
+            const int fd =
+                is_down_ ? -1 : ::accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC);
+            if (fd < 0) {
+                sleep_s(0.005);
                 continue;
+            }
             const int on = 1;
             setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
             if (is_refusing_) {
@@ -400,9 +434,10 @@
     }
 
     handler serve_;
-    int fd_ = -1;
+    std::atomic<int> fd_ = -1;
     std::uint16_t port_ = 0;
     std::atomic<bool> is_refusing_ = false;
+    std::atomic<bool> is_down_ = false;
     std::mutex mutex_;
     std::set<int> open_;
 };
@@ -789,12 +824,25 @@
     {
         std::thread([this, port, period_s] {
             while (!is_silent_) {
-                send_heartbeat(port, ++sequence_, "ready");
+                if (!is_crashed_)
+                    send_heartbeat(port, ++sequence_, "ready");
                 sleep_s(period_s);
             }
         }).detach();
     }
 
+    /// Crashes. It is back after some seconds, as a new incarnation with the
+    /// same id.
+    void crash(double down_s)
+    {
+        is_crashed_ = true;
+        server_.crash(down_s, [this] {
+            born_ = unix_time_ms();
+            sequence_ = 0;
+            is_crashed_ = false;
+        });
+    }
+
     /// Ends the heartbeats.
     /// @return the count of one that is under way and arrives late
     int stop_heartbeats()
@@ -808,7 +856,7 @@
     {
         return call(
             port, "/instances/" + id_ + "/deregister",
-            json::object{{"born", born_}});
+            json::object{{"born", born_.load()}});
     }
 
     bool
@@ -817,7 +865,7 @@
         const json::object body{
             {"Service", service_}, {"Addr", address()}, {"Zone", zone_},
             {"Version", "v1"},     {"Slots", 72},       {"State", state},
-            {"WarmupLeftMs", 0},   {"Seq", sequence},   {"born", born_}};
+            {"WarmupLeftMs", 0},   {"Seq", sequence},   {"born", born_.load()}};
         return call(port, "/instances/" + id_ + "/heartbeat", body);
     }
 
@@ -863,12 +911,10 @@
     std::string service_;
     std::string zone_;
     std::string id_;
-    std::int64_t born_ =
-        std::chrono::duration_cast<std::chrono::milliseconds>(
-            std::chrono::system_clock::now().time_since_epoch())
-            .count();
+    std::atomic<std::int64_t> born_ = unix_time_ms();
     work_function work_;
     std::atomic<int> sequence_ = 0;
+    std::atomic<bool> is_crashed_ = false;
     /// Set when the endpoint leaves.
     std::atomic<bool> is_silent_ = false;
     server server_;
--- a/review/standins-3/stop_pipelined.cpp
+++ b/review/standins-3/stop_pipelined.cpp
@@ -14,6 +14,12 @@
 constexpr int parts = 4;
 constexpr double part_pause_s = 0.1;
 constexpr std::size_t part_bytes = 3000;
+constexpr double work_s = 0.1;
+/// Requests of other machines' clients, some of which run at the endpoint
+/// beside the node that stops.
+constexpr std::string_view long_prefix = "/guide/long/";
+constexpr double long_work_s = 2;
+constexpr int long_clients = 15;
 constexpr double grace_s = 6;
 
 std::string config()
@@ -31,10 +37,8 @@
                        {"Service", "guides"},
                        {"Attempts", 2},
                        {"Public", true}}}},
-        {"Services",
-         json::array{
-             json::object{{"Name", "guides"}, {"HealthPath", "/healthz"}},
-             json::object{{"Name", "front"}, {"HealthPath", "/healthz"}}}},
+        {"Services", json::array{json::object{
+                         {"Name", "guides"}, {"HealthPath", "/healthz"}}}},
         {"Limits", json::object{
                        {"MaxHeaderBytes", 16384},
                        {"MaxBodyBytes", 1000000},
@@ -64,7 +68,8 @@
         history[id].run_at = now_s();
     }
     record().line("%s runs", id.c_str());
-    sleep_s(0.1);
+    const bool is_long = request.target().starts_with(long_prefix);
+    sleep_s(is_long ? long_work_s : work_s);
     const std::string whole = format_message(
         "HTTP/1.1 200 OK", answer_headers(id),
         std::string(parts * part_bytes, 'a'));
@@ -80,6 +85,25 @@
     record().line("%s its run ends%s", id.c_str(), is_sent ? "" : ", cut");
 }
 
+/// Sends long requests, one after the other.
+void send_long_requests(std::uint16_t port)
+{
+    stream connection;
+    while (!is_over) {
+        if (!connection.is_open() && !connection.connect(port, 1))
+            continue;
+        const auto id = new_id();
+        record().line("%s sent, long", id.c_str());
+        connection.send(
+            client_request(std::string(long_prefix) + id, id, 5000));
+        const auto answer = read_message(connection, now_s() + 5);
+        record().line(
+            "%s answered %d", id.c_str(), answer ? answer->status() : 0);
+        if (!answer || answer->header("connection") == "close")
+            connection.close();
+    }
+}
+
 /// One connection with up to two requests at a time. What the client sends
 /// leaves, and what it gets is seen, one link delay later.
 class pipelining_client
@@ -129,7 +153,7 @@
     void serve_pair()
     {
         send_request();
-        const double second_at = now_s() + between(0.07, 0.13);
+        const double second_at = now_s() + between(0.085, 0.125);
         // What arrives within the last link delay hasn't been seen yet.
         const double seen_until = second_at - client_link_s;
         bool has_begun = false;
@@ -200,7 +224,7 @@
     };
     // Each is the only machine of its zone, so that its clients go on to send
     // to it when it isn't ready.
-    add("side-a", "anand", "front");
+    add("side-a", "anand", "guides");
     add("side-b", "surat", "guides");
     add("side-c", "vadodara", "guides");
     add("side-d", "surat", "guides");
@@ -215,6 +239,11 @@
     sleep_s(4);
     say("clients start");
     std::vector<std::thread> threads;
+    threads.reserve(long_clients + clients);
+    for (int i = 0; i < long_clients; ++i) {
+        threads.emplace_back(
+            [port = nodes[1]->callers()] { send_long_requests(port); });
+    }
     for (unsigned i = 0; i < clients; ++i) {
         threads.emplace_back([port = nodes[0]->callers(), i] {
             pipelining_client(port, i + 1).run_until_over();
