--- a/review/standins-3/crash_cleared.cpp
+++ b/review/standins-3/crash_cleared.cc
@@ -1,7 +1,7 @@
 // A request crashes each endpoint that begins to run it, and comes again. Other
 // requests of the same client on the same path begin with the same 4 KiB, and
 // are harmless. The crashing one must not reach endpoints over and over.
-#include "standins.hpp"
+#include "standins.h"
 
 using namespace review;
 
--- a/review/standins-3/drill_leave.cpp
+++ b/review/standins-3/drill_leave.cc
@@ -2,7 +2,7 @@
 // is some seconds old, and all processes of the system are killed at once and
 // started again. A heartbeat from before the leave arrives late. No request may
 // reach the endpoint.
-#include "standins.hpp"
+#include "standins.h"
 
 using namespace review;
 
--- a/review/standins-3/drill_quota.cpp
+++ b/review/standins-3/drill_quota.cc
@@ -1,7 +1,7 @@
 // Two machines are added. Between their starts the store comes back from a copy
 // that is some seconds old. A tenant that asks for more than its quota must not
 // get more than it.
-#include "quota.hpp"
+#include "quota.h"
 
 using namespace review;
 
--- a/review/standins-3/quota.hpp
+++ b/review/standins-3/quota.h
@@ -2,7 +2,7 @@
 /// Load of one tenant at its quota, and the check of the rule QUOTA.
 #pragma once
 
-#include "standins.hpp"
+#include "standins.h"
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
--- a/review/standins-3/silent_store.cpp
+++ b/review/standins-3/silent_store.cc
@@ -1,7 +1,7 @@
 // The open connections of all machines to the store go silent for good, new
 // ones work. A change of the configuration has to be in force in time at the
 // machines that are in touch.
-#include "standins.hpp"
+#include "standins.h"
 
 using namespace review;
 
@@ -11,8 +11,8 @@
 constexpr double stable_window_s = 3;
 /// From the silence until the operator's change.
 constexpr double change_after_s = 1;
-constexpr int rounds = 7;
-constexpr double round_s = 13;
+constexpr int rounds = 10;
+constexpr double round_s = 9;
 
 /// Returns the service that has the route in a version.
 std::string service_of(int version)
@@ -105,7 +105,8 @@
     silencing_proxy way_to_store(platform.port());
     std::vector<std::unique_ptr<endpoint>> endpoints;
     std::vector<std::unique_ptr<node>> nodes;
-    for (const std::string name : {"side-a", "side-b", "side-c", "side-d"}) {
+    for (const std::string name :
+         {"side-a", "side-b", "side-c", "side-d", "side-e", "side-f"}) {
         const auto service = service_of(static_cast<int>(nodes.size()));
         endpoints.push_back(std::make_unique<endpoint>(
             service, "east",
@@ -147,7 +148,7 @@
         lookers.reserve(nodes.size());
         for (const auto& target : nodes) {
             lookers.emplace_back([&, version] {
-                look(*target, version, acknowledged_at, from, from + 4);
+                look(*target, version, acknowledged_at, from, from + 3);
             });
         }
         for (auto& looker : lookers)
--- a/review/standins-3/standins.hpp
+++ b/review/standins-3/standins.h
@@ -330,15 +330,27 @@
     return fd;
 }
 
-/// Returns a free port. The ports lie below those of outgoing connections.
+/// Returns a free port. The ports lie below those of outgoing connections. Each
+/// script has a block of ports for itself: it holds the first port of the
+/// block, so that scripts that run at the same time don't take each other's.
 inline std::uint16_t free_port()
 {
-    static std::mt19937 random(std::random_device{}());
-    static std::set<std::uint16_t> used;
+    constexpr unsigned first_port = 12000;
+    constexpr unsigned blocks = 180;
+    constexpr unsigned ports_per_block = 100;
+    static unsigned block = std::random_device{}() % blocks;
+    static unsigned used = ports_per_block;
     for (;;) {
-        auto port = static_cast<std::uint16_t>(12000 + random() % 18000);
-        if (!used.insert(port).second)
-            continue;
+        if (used >= ports_per_block) {
+            block = (block + 1) % blocks;
+            auto guard = static_cast<std::uint16_t>(
+                first_port + block * ports_per_block);
+            if (listen_on_loopback(guard) < 0)
+                continue;
+            used = 1;
+        }
+        auto port = static_cast<std::uint16_t>(
+            first_port + block * ports_per_block + used++);
         const int fd = listen_on_loopback(port);
         if (fd < 0)
             continue;
--- a/review/standins-3/stop_pipelined.cpp
+++ b/review/standins-3/stop_pipelined.cc
@@ -1,7 +1,7 @@
 // A node gets SIGTERM while clients on kept connections send idempotent
 // requests before the first has been answered. A request that the node passes
 // on to an endpoint has to be answered.
-#include "standins.hpp"
+#include "standins.h"
 
 using namespace review;
 
