http: start no request behind an answer that closes the connection

The head of that answer had said `Connection: close`, which tells callers that what they send behind it has not run.

Cause: the answer was chosen as the last one when its head was formatted, but the reader of the connection stopped only after the body. What it read in between it started, and `send_answers` canceled it. The same line was drawn twice.

Now one flag of the connection (`takes_requests`) decides. It ends where the decision is made, before the head is sent, and the reader looks at it before it starts anything. The other answers that end a connection use the same flag: a request that asks for it, so that nothing behind it starts; an HTTP/1.0 answer without a length and a body that was not read to its end, behind which nothing starts until they are over; and a body that fails, which cancels all that is left in one place (`stop_answers`).

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -78,6 +78,14 @@
         asio::buffer(interim.data(), interim.size()), idle_timeout);
 }
 
+/// Returns whether the answer to a request may have to end the connection: the
+/// rest of its body may remain unread, and before HTTP/1.1 an answer of unknown
+/// length ends with the connection. No request is started behind such a one.
+bool may_end_connection(const detail::message_head& head, bool has_body)
+{
+    return has_body || !head.is_http_1_1;
+}
+
 bool has_no_body(int status)
 {
     constexpr int no_content = 204;
@@ -144,7 +152,11 @@
         exchange_ptr sender;
         /// Runs while an answer is sent to a caller whose input has ended.
         asio::steady_timer leave_check;
-        /// Whether no more requests are read or answered.
+        /// Whether further requests are started. It ends before the head of an
+        /// answer that closes the connection is sent: that head tells the
+        /// caller that the requests behind it have not run.
+        bool takes_requests = true;
+        /// Whether no more answers are sent.
         bool closing = false;
 
         bool is_idle() const { return exchanges.empty() && !reading; }
@@ -184,6 +196,7 @@
     http_request
     make_request(const session& current, const exchange& pending) const;
     static void watch_for_leave(const session_ptr& current);
+    static void stop_answers(session& current);
     awaitable<bool> respond(
         const session_ptr& current, streamed_response response,
         const detail::message_head& head, bool keep_alive);
@@ -324,7 +337,7 @@
                                ? since + limits_.keep_alive_timeout
                                : time_point::max();
         if (conn.has_ended() || !conn.is_open() || clock::now() >= until ||
-            current.closing)
+            !current.takes_requests)
             co_return false;
         // During a shutdown a request that has reached this instance is
         // still answered.
@@ -333,7 +346,7 @@
             co_return false;
         co_await conn.wait_input(until);
     }
-    co_return !current.closing;
+    co_return current.takes_requests;
 }
 
 /// Reads a head and starts processing its request.
@@ -364,8 +377,10 @@
     // body is not pipelined.
     if (has_body)
         co_await wait_for_answers(current, 0);
-    if (current->closing)
+    if (!current->takes_requests)
         co_return false;
+    if (!pending->reader->head().keep_alive)
+        current->takes_requests = false;
     if (conn.has_ended())
         pending->cancellation->canceled = true;
     current->exchanges.push_back(pending);
@@ -378,18 +393,18 @@
             [current, pending](const std::exception_ptr& exception) {
                 // A body that throws must not look like a complete one.
                 if (exception) {
-                    current->closing = true;
-                    current->exchanges.clear();
+                    stop_answers(*current);
                     current->sending = false;
                     current->sender = nullptr;
                     current->conn->abort();
                     current->answer_sent.cancel();
                 }
             }));
+    const bool is_alone = may_end_connection(pending->reader->head(), has_body);
     const auto max_in_progress =
-        has_body || limits_.max_pipelined == 0 ? 0 : limits_.max_pipelined - 1;
+        is_alone || limits_.max_pipelined == 0 ? 0 : limits_.max_pipelined - 1;
     co_await wait_for_answers(current, max_in_progress);
-    co_return !current->closing;
+    co_return current->takes_requests;
 }
 
 /// Waits until at most `max_in_progress` requests are in progress.
@@ -442,12 +457,8 @@
         pending->reader->cancel();
         current->exchanges.pop_front();
         current->answer_sent.cancel();
-        if (!keep_open) {
-            current->closing = true;
-            for (const auto& unanswered : current->exchanges)
-                unanswered->cancellation->run();
-            current->exchanges.clear();
-        }
+        if (!keep_open)
+            stop_answers(*current);
     }
     current->sending = false;
     current->answer_sent.cancel();
@@ -527,6 +538,16 @@
         });
 }
 
+/// Cancels the requests in progress on a connection that carries no more
+/// answers.
+void http_server::impl::stop_answers(session& current)
+{
+    current.takes_requests = false;
+    current.closing = true;
+    for (const auto& unanswered : std::exchange(current.exchanges, {}))
+        unanswered->cancellation->run();
+}
+
 /// Sends a response.
 /// @return whether the connection can be reused
 awaitable<bool> http_server::impl::respond(
@@ -545,6 +566,8 @@
     // only the last answer of a shutdown closes the connection.
     const bool is_last = draining_ && current->exchanges.size() <= 1;
     keep_alive = keep_alive && !is_last && framing != body_framing::until_close;
+    if (!keep_alive)
+        current->takes_requests = false;
     auto text = detail::format_response_head(response, framing, keep_alive);
     if (!text) {
         log(log_level::error, "http_response_invalid",
