peer: refuse streams that come before GOAWAY can be sent

A node that ends a connection to another one chooses the last stream that it serves and queues GOAWAY with its number. Until the frame is written, which takes as long as the write before it, streams that arrived were started; the frame then told their sender that they had not run. A request that must not run twice could so be sent again elsewhere.

The session remembers the last stream when it chooses it, and resets later ones with REFUSED_STREAM before their heads are read.

The new test on the code before (peer_test "a stream behind*"):

CHECK( started == std::vector<std::string>{"/last"} ) { "/last", "/behind" } == { "/last" }

After: passes. No caller was seen to meet this; the links between nodes on the shared store are not shut down this way, the product's own interface is.

--- a/src/peer/session.cpp
+++ b/src/peer/session.cpp
@@ -236,10 +236,10 @@
     if (!open_)
         return;
     goaway_ = true;
+    last_stream_ = nghttp2_session_get_last_proc_stream_id(session_);
     nghttp2_submit_goaway(
-        session_, NGHTTP2_FLAG_NONE,
-        nghttp2_session_get_last_proc_stream_id(session_), NGHTTP2_NO_ERROR,
-        nullptr, 0);
+        session_, NGHTTP2_FLAG_NONE, *last_stream_, NGHTTP2_NO_ERROR, nullptr,
+        0);
     flush();
 }
 
--- a/src/peer/session.hpp
+++ b/src/peer/session.hpp
@@ -186,6 +186,9 @@
     std::size_t peak_input_ = 0;
     bool open_ = true;
     bool goaway_ = false;
+    /// The last stream of the peer that is served, once a shutdown has begun.
+    /// GOAWAY names it, and may be sent only after further streams have come.
+    std::optional<std::int32_t> last_stream_;
 };
 
 } // namespace fulmarjunction::detail
--- a/src/peer/session_callbacks.cpp
+++ b/src/peer/session_callbacks.cpp
@@ -130,13 +130,18 @@
 }
 
 int session_callbacks::on_begin_headers(
-    nghttp2_session*, const nghttp2_frame* frame, void* user)
+    nghttp2_session* session, const nghttp2_frame* frame, void* user)
 {
     auto& owner = owner_of(user);
     if (owner.side_ == session_side::client ||
         frame->headers.cat != NGHTTP2_HCAT_REQUEST)
         return 0;
     const auto id = frame->hd.stream_id;
+    if (owner.last_stream_ && id > *owner.last_stream_) {
+        nghttp2_submit_rst_stream(
+            session, NGHTTP2_FLAG_NONE, id, NGHTTP2_REFUSED_STREAM);
+        return 0;
+    }
     owner.streams_.emplace(
         id, std::make_shared<peer_stream>(owner.executor(), id));
     ++owner.counters_->streams_opened;
