http: count the idle time of a connection from the end of an answer

Callers may use a connection again that has been idle for four fifths of the limit. Where requests can be pipelined the limit ran from the arrival of the last request, so that a connection whose answer took longer than the limit closed at once behind it, and the caller's next request was lost.

Cause: `wait_for_request` took the time when it was called, which with pipelining is while the request is still running. The connection now keeps the end of its last answer.

The new test on the code before (http_test "the idle time*"): the second request gets no answer, `CHECK( ...find("HTTP/1.1 200") != npos )` fails. After: passes.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -144,6 +144,8 @@
         tcp::endpoint from;
         /// Requests in progress, in order of arrival.
         std::deque<exchange_ptr> exchanges;
+        /// End of the last answer, or start of the connection.
+        time_point idle_since = clock::now();
         /// Whether a head is being read.
         bool reading = false;
         /// Whether an answer is being sent.
@@ -331,10 +333,9 @@
 awaitable<bool> http_server::impl::wait_for_request(session& current)
 {
     auto& conn = *current.conn;
-    const auto since = clock::now();
     while (conn.input().empty()) {
         const auto until = current.exchanges.empty()
-                               ? since + limits_.keep_alive_timeout
+                               ? current.idle_since + limits_.keep_alive_timeout
                                : time_point::max();
         if (conn.has_ended() || !conn.is_open() || clock::now() >= until ||
             !current.takes_requests)
@@ -456,6 +457,7 @@
         keep_open = keep_open && pending->reader->is_done();
         pending->reader->cancel();
         current->exchanges.pop_front();
+        current->idle_since = clock::now();
         current->answer_sent.cancel();
         if (!keep_open)
             stop_answers(*current);
--- a/src/http/shutdown_test.cpp
+++ b/src/http/shutdown_test.cpp
@@ -192,6 +192,32 @@
     CHECK(target.started == std::vector<std::string>{"/slow"});
 }
 
+// Guards against a connection that closes while its caller sends the next
+// request, since its idle time began with the one before and not its answer.
+TEST_CASE("the idle time of a connection begins at the end of an answer")
+{
+    auto limits = fj::http_limits{};
+    limits.max_pipelined = 4;
+    limits.keep_alive_timeout = std::chrono::milliseconds(1500);
+    const auto handle = [](const fj::http_request& request)
+        -> fj::awaitable<fj::streamed_response> {
+        if (request.message.target == "/slow") {
+            asio::steady_timer timer(io(), std::chrono::milliseconds(2000));
+            co_await timer.async_wait(use_awaitable);
+        }
+        co_return text_response(200, "whole body");
+    };
+    fj::http_server server(io().get_executor(), limits, handle, [](int code) {
+        return text_response(code, "");
+    });
+    tcp::socket caller(io());
+    caller.connect(server.listen(any_port).value());
+    run(send_and_settle(caller, request_for("/slow", "")));
+    CHECK(run(read_head(caller)).starts_with("HTTP/1.1 200"));
+    run(send_and_settle(caller, request_for("/next", "connection: close\r\n")));
+    CHECK(run(read_answer(caller)).find("HTTP/1.1 200") != std::string::npos);
+}
+
 // Guards against requests that are reset because their connections wait in the
 // kernel when the server stops accepting.
 TEST_CASE("a shutdown answers requests on connections not accepted yet")
