suspects: let a fingerprint cover the whole request

Cause: the fingerprint left out what makes the requests different, so that the answers to the harmless ones cleared the crashes of the other.

- A fingerprint covers the host, the path with its query and each byte of the body (XXH3, as before; bodies up to 64 KiB are in memory anyway).
- A larger body is not known before it is sent.
Its request goes under a partial fingerprint, which equals that of no whole body.
Once a crash is known for that, entries read such bodies whole, at most four at a time and 4 MiB each, and the requests have fingerprints of their own: the harmless ones are served.
- The gate hashes the bytes as they pass (`passing_fingerprint`).
An answer clears crashes only if this is the fingerprint that the entry has named, so neither a partial one nor that of an entry of an earlier version clears too much.
- The product's own interface hashes whole bodies too; an answer to a body over 64 KiB clears nothing there.

While nodes of both versions run, a body over 4 KiB has two fingerprints, and a request can crash as many servers under each.

The new test on the code before (mesh_test "answers to other bodies*"), for bodies of 4,200, 65,536 and 200,000 bytes, with a length and in chunks:

CHECK( count_crashes(fleet) <= allowed ) 8 <= 2 (4,200) 7 <= 3 (65,536)

--- a/include/fulmarjunction/mesh/caller_entry.hpp
+++ b/include/fulmarjunction/mesh/caller_entry.hpp
@@ -11,6 +11,7 @@
 #include <fulmarjunction/mesh/wire_format.hpp>
 #include <fulmarjunction/quota/account_ledger.hpp>
 #include <fulmarjunction/routes/service_map.hpp>
+#include <fulmarjunction/suspects/suspects.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 
@@ -37,6 +38,7 @@
         root_shedding* shedding = nullptr;
         fleet_link* link = nullptr;
         forwarder* request_forwarder = nullptr;
+        const suspect_list* suspects = nullptr;
         const wire_format* format = nullptr;
         mesh_metrics* metrics = nullptr;
         std::function<std::uint64_t()> random;
@@ -81,6 +83,9 @@
     serve(admitted request, http_request incoming, caller_claims claims);
     outgoing_request make_outgoing(
         const admitted& request, http_request& incoming, request_body body);
+    static void identify(outgoing_request& outgoing);
+    awaitable<result<void>>
+    read_suspect(outgoing_request& outgoing, std::size_t body_limit);
     awaitable<forward_result>
     forward(outgoing_request outgoing, cancel_event canceled);
     awaitable<result<request_body>> read_request_body(
@@ -100,6 +105,8 @@
     /// Cancel the requests that are being forwarded, by a number of their own.
     std::map<std::uint64_t, cancel_event> forwarded_;
     std::uint64_t next_forwarded_ = 0;
+    /// Requests whose large bodies are held whole.
+    unsigned large_suspects_ = 0;
     bool is_breaking_off_ = false;
 };
 
--- a/include/fulmarjunction/serving/backend_gate.hpp
+++ b/include/fulmarjunction/serving/backend_gate.hpp
@@ -87,13 +87,22 @@
     struct waiter;
     class run_guard;
 
+    /// What is known of the content of a request.
+    struct identified_content
+    {
+        fingerprint print = 0;
+        /// Whether the fingerprint covers the whole body.
+        bool is_whole = true;
+    };
+
     void apply(const admission_events& events);
     void finish(std::uint64_t id, completion result);
     awaitable<std::optional<refusal>>
     admit(admission_request offered, cancel_event canceled);
     awaitable<streamed_response>
     run(request_context context, streamed_request request,
-        cancel_event canceled, std::uint64_t id, fingerprint print);
+        cancel_event canceled, std::uint64_t id,
+        const identified_content& content);
     awaitable<streamed_response>
     pass_on(std::shared_ptr<run_guard> guard, streamed_request request);
     streamed_response failed_answer(run_guard& guard, const error& problem);
--- a/include/fulmarjunction/serving/body.hpp
+++ b/include/fulmarjunction/serving/body.hpp
@@ -4,6 +4,7 @@
 
 #include <fulmarjunction/core/message.hpp>
 #include <fulmarjunction/core/time.hpp>
+#include <fulmarjunction/suspects/suspects.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 
@@ -37,6 +38,17 @@
 /// Reads the body up to `max_buffered_body_bytes`.
 awaitable<result<request_body>> buffer_request_body(body_reader body);
 
+/// Reads on until the body is whole or `max_bytes` are buffered.
+awaitable<result<request_body>>
+continue_buffering(request_body body, std::size_t max_bytes);
+
+/// Returns the fingerprint of a request, which is a partial one unless the body
+/// is whole.
+/// @param target path and query
+fingerprint fingerprint_of(
+    const client_account& account, const endpoint_name& endpoint,
+    std::string_view target, const request_body& body);
+
 /// Returns a reader that fails with `errc::unauthorized` before it returns any
 /// byte of `secret`, also where the secret spans two reads. A tail that may be
 /// a prefix of the secret is held back until more bytes have been read.
--- a/include/fulmarjunction/suspects/suspects.hpp
+++ b/include/fulmarjunction/suspects/suspects.hpp
@@ -9,26 +9,57 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string_view>
 #include <vector>
 
+struct XXH3_state_s;
+
 namespace fulmarjunction {
 
 /// Hash that is equal for equal requests, so that a retry is recognized.
 using fingerprint = std::uint64_t;
 
-/// Number of leading body bytes that the fingerprint covers.
-constexpr std::size_t fingerprint_body_bytes = 4096;
+/// Computes the fingerprint of a request whose body comes in pieces. The sizes
+/// of the pieces do not matter.
+class fingerprint_builder
+{
+public:
+    /// @param target path and query
+    fingerprint_builder(
+        const client_account& account, const endpoint_name& endpoint,
+        std::string_view target);
+
+    void add_body(std::string_view bytes);
+
+    /// Returns the fingerprint for the body added so far.
+    fingerprint value() const;
+
+private:
+    struct state_deleter
+    {
+        void operator()(XXH3_state_s* state) const;
+    };
+
+    std::unique_ptr<XXH3_state_s, state_deleter> state_;
+};
 
 /// Returns the fingerprint of a request.
-/// @param body first bytes of the body; bytes past `fingerprint_body_bytes` are
-///        ignored
+/// @param target path and query
+/// @param body the whole body
 fingerprint fingerprint_of(
     const client_account& account, const endpoint_name& endpoint,
     std::string_view target, std::string_view body);
 
+/// Returns a fingerprint for all requests whose bodies begin alike and go on.
+/// It equals that of no whole body.
+/// @param first_bytes beginning of the body
+fingerprint partial_fingerprint_of(
+    const client_account& account, const endpoint_name& endpoint,
+    std::string_view target, std::string_view first_bytes);
+
 /// Fingerprints of one request.
 struct request_prints
 {
@@ -169,6 +200,10 @@
     /// forwarded
     bool merge(const suspect_report& report, time_point now);
 
+    /// Returns whether a crash is known for the content, cleared for some
+    /// callers or not.
+    bool has_crashes(fingerprint content, time_point now) const;
+
     /// Decides on the node that chooses an instance.
     /// @param instances instances of the service that may be chosen
     suspect_decision decide(
--- a/src/mesh/caller_entry.cpp
+++ b/src/mesh/caller_entry.cpp
@@ -20,6 +20,11 @@
 constexpr milliseconds max_token_wait(120);
 constexpr unsigned max_token_requests = 3;
 
+/// Limits of the large bodies that are held whole, so that a request can be
+/// told from one that begins alike and has crashed a backend server.
+constexpr unsigned max_large_suspects = 4;
+constexpr std::size_t max_suspect_body_bytes = 4 * 1024 * 1024;
+
 constexpr milliseconds starting_retry_after(500);
 constexpr milliseconds unconfirmed_retry_after(1000);
 constexpr milliseconds no_ledger_retry_after(300);
@@ -258,9 +263,51 @@
     outgoing.context.request_id = std::move(claims.request_id);
     outgoing.context.deadline = deadline;
     outgoing.arrived_at = arrived_at;
+    const bool is_large_suspect =
+        !outgoing.body.is_whole && large_suspects_ < max_large_suspects &&
+        deps_.suspects->has_crashes(outgoing.context.print, clock::now());
+    if (!is_large_suspect)
+        co_return co_await forward(std::move(outgoing), canceled);
+    ++large_suspects_;
+    struct count_guard
+    {
+        unsigned& count;
+        ~count_guard() { --count; }
+    } const guard{large_suspects_};
+    const auto read = co_await read_suspect(
+        outgoing, request.config->limits().max_body_bytes);
+    if (!read)
+        co_return make_body_refusal(read.error());
     co_return co_await forward(std::move(outgoing), canceled);
 }
 
+/// Reads the body of a request to its end, unless it is very large: others that
+/// begin alike have crashed backend servers.
+awaitable<result<void>>
+caller_entry::read_suspect(outgoing_request& outgoing, std::size_t body_limit)
+{
+    auto body = co_await run_with_deadline(
+        continue_buffering(
+            std::move(outgoing.body),
+            std::min(body_limit, max_suspect_body_bytes)),
+        executor_, outgoing.context.deadline, "read request");
+    if (!body)
+        co_return body.error();
+    outgoing.body = std::move(body.value());
+    identify(outgoing);
+    co_return boost::outcome_v2::success();
+}
+
+/// Computes the fingerprint from what has been read of the body. The same
+/// content may crash a backend server whoever sends it, also after the route
+/// has been renamed.
+void caller_entry::identify(outgoing_request& outgoing)
+{
+    const auto host = find_header(outgoing.headers, "host").value_or("");
+    outgoing.context.print =
+        fingerprint_of({}, std::string(host), outgoing.target, outgoing.body);
+}
+
 outgoing_request caller_entry::make_outgoing(
     const admitted& request, http_request& incoming, request_body body)
 {
@@ -283,11 +330,7 @@
     outgoing.headers = std::move(incoming.message.headers);
     outgoing.content_length = incoming.message.content_length;
     outgoing.body = std::move(body);
-    // The same content may crash a backend server whoever sends it, also after
-    // the route has been renamed.
-    const auto host = find_header(outgoing.headers, "host").value_or("");
-    outgoing.context.print = fingerprint_of(
-        {}, std::string(host), outgoing.target, outgoing.body.prefix);
+    identify(outgoing);
     return outgoing;
 }
 
--- a/src/mesh/crashing_request_test.cpp
+++ b/src/mesh/crashing_request_test.cpp
@@ -3,6 +3,8 @@
 
 #include <mesh/mesh_test_fleet.hpp>
 
+#include <fulmarjunction/serving/body.hpp>
+
 #include <optional>
 #include <vector>
 
@@ -214,6 +216,40 @@
     CHECK(answered == rounds * others.size());
 }
 
+// Guards against a request that crashes one server each time it is sent because
+// answers to others clear its crashes, whose bodies differ at the end only.
+TEST_CASE("answers to other bodies do not clear the crashes of a request")
+{
+    // A form, a body that is just not buffered, and a larger one.
+    const std::size_t begin_size = GENERATE(4200, 65'536, 200'000);
+    const bool has_length = GENERATE(true, false);
+    CAPTURE(begin_size, has_length);
+    auto& fleet = make_book_fleet();
+    fleet.rows->config.routes[0].kind = fj::execution::unique;
+    fleet.publish();
+    const std::string begin(begin_size, 'x');
+    const std::string path = "/books/order";
+    constexpr std::size_t rounds = 8;
+    const auto count = fleet.instances.size();
+    std::size_t answered = 0;
+    for (std::size_t round = 0; round < rounds; ++round) {
+        fleet.send_body(
+            path, key, round % count, begin + crashing_body_end, has_length);
+        wait_for(milliseconds(500));
+        send_heartbeats(fleet);
+        for (std::size_t index = 0; index < count; ++index) {
+            const auto other = fleet.send_body(
+                path, key, index, begin + std::to_string(index), has_length);
+            answered += other.status == 200 ? 1 : 0;
+        }
+    }
+    // The first crash of a body that is not buffered is known by its beginning
+    // only, under which all bodies that begin alike are told apart.
+    const int allowed = begin_size < fj::max_buffered_body_bytes ? 2 : 3;
+    CHECK(count_crashes(fleet) <= allowed);
+    CHECK(answered == rounds * count);
+}
+
 // Guards against copies of a request that wait at the same gate and crash each
 // process that the backend server starts meanwhile under its old id.
 TEST_CASE("copies that wait while a request crashes servers do not run")
--- a/src/mesh/gate_service.cpp
+++ b/src/mesh/gate_service.cpp
@@ -1,3 +1,5 @@
+#include "passing_fingerprint.hpp"
+
 #include <fulmarjunction/core/log.hpp>
 #include <fulmarjunction/mesh/gate_service.hpp>
 #include <fulmarjunction/serving/body.hpp>
@@ -86,9 +88,10 @@
 public:
     slot(
         std::shared_ptr<gate_service> owner, std::uint64_t id,
-        const request_prints& prints)
+        const request_prints& prints,
+        std::shared_ptr<passing_fingerprint> passed)
         : owner_(std::move(owner)), id_(id), prints_(prints),
-          acquired_at_(clock::now())
+          passed_(std::move(passed)), acquired_at_(clock::now())
     {
     }
     slot(const slot&) = delete;
@@ -112,6 +115,10 @@
     void mark_served(const std::string& request_id)
     {
         is_served_ = true;
+        // Others with a fingerprint that leaves out a part of the request may
+        // still crash the backend server.
+        if (passed_->value() != prints_.content)
+            return;
         const auto cleared =
             owner_->deps_.suspects->finished(prints_, clock::now());
         if (cleared == 0)
@@ -135,6 +142,7 @@
     std::shared_ptr<gate_service> owner_;
     std::uint64_t id_;
     request_prints prints_;
+    std::shared_ptr<passing_fingerprint> passed_;
     time_point acquired_at_;
     bool is_served_ = false;
     bool runs_alone_ = false;
@@ -356,7 +364,8 @@
         count_outcome(context, waited, refused.has_value());
     if (refused)
         co_return refuse(context, *refused);
-    auto held = std::make_shared<slot>(shared_from_this(), id, prints);
+    auto held = std::make_shared<slot>(
+        shared_from_this(), id, prints, passing_fingerprint::attach(request));
     const bool alone =
         decide_suspicion(context, prints).action == suspect_action::run_alone;
     if (!co_await turns_.wait(id, alone, context.deadline, canceled)) {
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -353,6 +353,7 @@
     entry.tokens = &tokens_;
     entry.link = link_.get();
     entry.request_forwarder = forwarder_.get();
+    entry.suspects = &suspects_;
     entry.format = &adapter_.format;
     entry.metrics = &metrics_;
     entry.shedding = &shedding_;
--- a/src/mesh/mesh_test_fleet.hpp
+++ b/src/mesh/mesh_test_fleet.hpp
@@ -219,6 +219,9 @@
     return format;
 }
 
+/// A request whose body ends so crashes its backend server.
+inline const std::string crashing_body_end = "that crashes";
+
 /// A backend server with its node.
 struct test_instance
 {
@@ -347,10 +350,13 @@
         run_ids.insert(field(fields, "id"));
         request.on_cancel([this] { ++cancellations; });
         last_headers = fields;
+        const auto body =
+            co_await fj::read_body(std::move(request.message.body), 1 << 20);
         const bool is_crashing =
-            request.message.target.find("crash") != std::string::npos &&
-            (crashing_caller.empty() ||
-             field(fields, "from") == crashing_caller);
+            (body && body.value().ends_with(crashing_body_end)) ||
+            (request.message.target.find("crash") != std::string::npos &&
+             (crashing_caller.empty() ||
+              field(fields, "from") == crashing_caller));
         if (service_time > milliseconds(0)) {
             asio::steady_timer timer(io(), service_time);
             co_await timer.async_wait(use_awaitable);
@@ -529,6 +535,15 @@
         return run(exchange(path, key, index, std::move(method)));
     }
 
+    /// Sends a request with a body, in chunks unless `has_length` is set.
+    answer send_body(
+        const std::string& path, const std::string& key, std::size_t index,
+        std::string body, bool has_length = true)
+    {
+        return run(
+            exchange(path, key, index, "POST", std::move(body), has_length));
+    }
+
     /// Starts requests evenly over `time`, through all nodes in turn, and waits
     /// for their answers.
     std::vector<answer> send_evenly(
@@ -554,7 +569,7 @@
 
     fj::awaitable<answer> exchange(
         std::string path, std::string key, std::size_t index,
-        std::string method)
+        std::string method, std::string body = {}, bool has_length = true)
     {
         fj::http_client client(
             io().get_executor(), instances[index]->settings.callers,
@@ -567,16 +582,17 @@
         request.headers.push_back({"fj-c", "1;1;0;9000;books;forged;forged"});
         if (!key.empty())
             request.headers.push_back({"key", key});
-        request.content_length = 0;
-        request.body = fj::empty_body();
+        if (has_length)
+            request.content_length = body.size();
+        request.body = fj::string_body(std::move(body));
         auto head = co_await client.send(std::move(request), far_deadline());
         answer received;
         if (!head)
             co_return received;
         received.status = head.value().status;
-        auto body =
+        auto text =
             co_await fj::read_body(std::move(head.value().body), 1 << 20);
-        received.body = body ? body.value() : "broken";
+        received.body = text ? text.value() : "broken";
         co_return received;
     }
 
--- a/src/serving/backend_gate.cpp
+++ b/src/serving/backend_gate.cpp
@@ -54,12 +54,13 @@
 {
 public:
     run_guard(
-        std::shared_ptr<backend_gate> gate, std::uint64_t id, fingerprint print,
+        std::shared_ptr<backend_gate> gate, std::uint64_t id,
+        const identified_content& content,
         std::shared_ptr<running_request> request)
-        : gate_(std::move(gate)), id_(id), fingerprint_(print),
+        : gate_(std::move(gate)), id_(id), content_(content),
           request_(std::move(request)), token_(gate_->running_.add(request_))
     {
-        gate_->crashes_->started(id_, fingerprint_);
+        gate_->crashes_->started(id_, content_.print);
     }
     run_guard(const run_guard&) = delete;
     run_guard& operator=(const run_guard&) = delete;
@@ -68,8 +69,9 @@
     {
         gate_->running_.remove(token_);
         gate_->crashes_->ended(id_);
-        if (completion_ == completion::succeeded)
-            gate_->suspects_.finished(fingerprint_, clock::now());
+        // Others that begin alike may still crash the backend server.
+        if (completion_ == completion::succeeded && content_.is_whole)
+            gate_->suspects_.finished(content_.print, clock::now());
         request_->canceled.cancel();
         gate_->finish(id_, completion_);
     }
@@ -81,7 +83,7 @@
 private:
     std::shared_ptr<backend_gate> gate_;
     std::uint64_t id_;
-    fingerprint fingerprint_;
+    identified_content content_;
     std::shared_ptr<running_request> request_;
     std::string token_;
     completion completion_ = completion::canceled;
@@ -219,10 +221,12 @@
         co_return refusal_answer(
             {outcome::not_run, refusal_reason::malformed, 0}, metadata);
     }
-    const auto print = fingerprint_of(
-        context.account, context.endpoint, request.target, body.value().prefix);
+    const identified_content content{
+        fingerprint_of(
+            context.account, context.endpoint, request.target, body.value()),
+        body.value().is_whole};
     const auto decision = suspects_.decide_local(
-        print, context.after_backend_failure, clock::now());
+        content.print, context.after_backend_failure, clock::now());
     if (decision.action == suspect_action::refuse) {
         log(log_level::info, "suspect_refused",
             {{"root", to_string(context.root)},
@@ -257,7 +261,8 @@
             {outcome::not_run, refusal_reason::overloaded, 0}, metadata);
     }
     auto response = co_await run(
-        std::move(context), std::move(request), std::move(canceled), id, print);
+        std::move(context), std::move(request), std::move(canceled), id,
+        content);
     if (alone)
         turns_.ended(id);
     co_return response;
@@ -265,7 +270,7 @@
 
 awaitable<streamed_response> backend_gate::run(
     request_context context, streamed_request request, cancel_event canceled,
-    std::uint64_t id, fingerprint print)
+    std::uint64_t id, const identified_content& content)
 {
     const auto deadline = context.deadline;
     auto running =
@@ -276,7 +281,7 @@
     running->canceled = cancel_event(executor_);
     canceled.on_cancel([children = running->canceled] { children.cancel(); });
     const auto guard =
-        std::make_shared<run_guard>(shared_from_this(), id, print, running);
+        std::make_shared<run_guard>(shared_from_this(), id, content, running);
 
     const auto remaining_ms = to_milliseconds(deadline - clock::now());
     if (remaining_ms <= 0) {
--- a/src/serving/body.cpp
+++ b/src/serving/body.cpp
@@ -62,26 +62,43 @@
 
 awaitable<result<request_body>> buffer_request_body(body_reader body)
 {
-    constexpr std::size_t chunk_bytes = 16 * 1024;
-    request_body buffered;
+    request_body nothing_read;
     if (!body)
-        co_return buffered;
-    while (buffered.prefix.size() < max_buffered_body_bytes) {
-        const auto filled = buffered.prefix.size();
-        const auto wanted =
-            std::min(chunk_bytes, max_buffered_body_bytes - filled);
-        buffered.prefix.resize(filled + wanted);
-        const auto size = co_await body(
-            asio::buffer(buffered.prefix.data() + filled, wanted));
+        co_return nothing_read;
+    nothing_read.is_whole = false;
+    nothing_read.rest = std::move(body);
+    co_return co_await continue_buffering(
+        std::move(nothing_read), max_buffered_body_bytes);
+}
+
+awaitable<result<request_body>>
+continue_buffering(request_body body, std::size_t max_bytes)
+{
+    constexpr std::size_t chunk_bytes = 16 * 1024;
+    auto& buffer = body.prefix;
+    while (!body.is_whole && buffer.size() < max_bytes) {
+        const auto filled = buffer.size();
+        const auto wanted = std::min(chunk_bytes, max_bytes - filled);
+        buffer.resize(filled + wanted);
+        const auto size =
+            co_await body.rest(asio::buffer(buffer.data() + filled, wanted));
         if (!size)
             co_return size.error();
-        buffered.prefix.resize(filled + size.value());
-        if (size.value() == 0)
-            co_return buffered;
+        buffer.resize(filled + size.value());
+        body.is_whole = size.value() == 0;
     }
-    buffered.is_whole = false;
-    buffered.rest = std::move(body);
-    co_return buffered;
+    if (body.is_whole)
+        body.rest = nullptr;
+    co_return std::move(body);
+}
+
+fingerprint fingerprint_of(
+    const client_account& account, const endpoint_name& endpoint,
+    std::string_view target, const request_body& body)
+{
+    return body.is_whole
+               ? fingerprint_of(account, endpoint, target, body.prefix)
+               : partial_fingerprint_of(account, endpoint, target, body.prefix);
 }
 
 namespace {
--- a/src/serving/dispatcher.cpp
+++ b/src/serving/dispatcher.cpp
@@ -68,8 +68,7 @@
 {
     const auto priority = priority_of(call.context.rank, call.context.root);
     const auto print = fingerprint_of(
-        call.context.account, call.context.endpoint, call.target,
-        call.body.prefix);
+        call.context.account, call.context.endpoint, call.target, call.body);
     const auto decision = dependencies_.classify(call.context.service, print);
     if (decision.action == suspect_action::refuse) {
         co_return refusal{outcome::not_run, refusal_reason::suspect_request, 0};
--- a/src/suspects/suspect_list.cpp
+++ b/src/suspects/suspect_list.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <new>
 #include <tuple>
 
 namespace fulmarjunction {
@@ -28,18 +29,58 @@
     return XXH3_64bits_withSeed(text.data(), text.size(), seed);
 }
 
+/// Hashes what precedes the body. The hash of each part is the seed of the
+/// next, so that moving bytes from one part to another changes the fingerprint.
+std::uint64_t hash_head(
+    const client_account& account, const endpoint_name& endpoint,
+    std::string_view target)
+{
+    auto hash = hash_text(account, 0);
+    hash = hash_text(endpoint, hash);
+    return hash_text(target, hash);
+}
+
 } // namespace
 
+fingerprint_builder::fingerprint_builder(
+    const client_account& account, const endpoint_name& endpoint,
+    std::string_view target)
+    : state_(XXH3_createState())
+{
+    if (!state_)
+        throw std::bad_alloc();
+    XXH3_64bits_reset_withSeed(
+        state_.get(), hash_head(account, endpoint, target));
+}
+
+void fingerprint_builder::state_deleter::operator()(XXH3_state_s* state) const
+{
+    XXH3_freeState(state);
+}
+
+void fingerprint_builder::add_body(std::string_view bytes)
+{
+    XXH3_64bits_update(state_.get(), bytes.data(), bytes.size());
+}
+
+fingerprint fingerprint_builder::value() const
+{
+    return XXH3_64bits_digest(state_.get());
+}
+
 fingerprint fingerprint_of(
     const client_account& account, const endpoint_name& endpoint,
     std::string_view target, std::string_view body)
 {
-    // The hash of each part is the seed of the next, so that moving bytes from
-    // one part to another changes the fingerprint.
-    auto hash = hash_text(account, 0);
-    hash = hash_text(endpoint, hash);
-    hash = hash_text(target, hash);
-    return hash_text(body.substr(0, fingerprint_body_bytes), hash);
+    return hash_text(body, hash_head(account, endpoint, target));
+}
+
+fingerprint partial_fingerprint_of(
+    const client_account& account, const endpoint_name& endpoint,
+    std::string_view target, std::string_view first_bytes)
+{
+    return hash_text(
+        "...", fingerprint_of(account, endpoint, target, first_bytes));
 }
 
 request_prints prints_of(fingerprint content, const request_identity& identity)
@@ -210,6 +251,15 @@
     return known;
 }
 
+bool suspect_list::has_crashes(fingerprint content, time_point now) const
+{
+    const auto found = suspects_.find(content);
+    return found != suspects_.end() &&
+           std::any_of(
+               found->second.crashes.begin(), found->second.crashes.end(),
+               [now](const auto& crash) { return now < crash.second.expires; });
+}
+
 /// Chooses the instance that runs a suspect, the same one at every node.
 std::optional<instance_name> suspect_list::choose_instance(
     fingerprint print, const std::vector<instance_name>& instances,
--- a/src/suspects/suspects_test.cpp
+++ b/src/suspects/suspects_test.cpp
@@ -194,6 +194,27 @@
     CHECK(base != fj::fingerprint_of("ab", "c", "/x", "body"));
     CHECK(base != fj::fingerprint_of("a", "bc", "/x", "bod"));
     CHECK(base != fj::fingerprint_of("z", "bc", "/x", "body"));
+    CHECK(base != fj::fingerprint_of("a", "bc", "/x?q", "body"));
+}
+
+// Guards against answers to one request that clear the crashes of another whose
+// body differs in its last byte only.
+TEST_CASE("a fingerprint covers each byte of a body, in pieces of any size")
+{
+    std::string body(100'000, 'x');
+    const auto whole = fj::fingerprint_of("a", "bc", "/x", body);
+    for (const std::size_t piece : {1, 7, 4096, 16'384, 100'000}) {
+        fj::fingerprint_builder builder("a", "bc", "/x");
+        for (std::size_t at = 0; at < body.size(); at += piece)
+            builder.add_body(std::string_view(body).substr(at, piece));
+        CHECK(builder.value() == whole);
+    }
+    CHECK(whole != fj::partial_fingerprint_of("a", "bc", "/x", body));
+    for (const std::size_t at : {0, 4095, 4096, 65'535, 65'536, 99'999}) {
+        body[at] = 'y';
+        CHECK(fj::fingerprint_of("a", "bc", "/x", body) != whole);
+        body[at] = 'x';
+    }
 }
 
 // Guards against refused retries after a crash with many requests in flight:
