mesh: write rows again after the store has come back from a copy

The store had come back from a copy some seconds old between the starts of two machines.

Cause: an acknowledged write was taken for good. The row of the machine that had been added before the drill was lost, the one that started after it did not find it, and a node looked for its own row only each 30 to 60 s. Nothing read the era that the store names in its answers. Until then the two did not know each other, each counted the account at its full rate.

All that rests on versions or on the store's memory follows the era:

- incarnations begin with it, so a node that starts after a drill is newer than before although versions are given out again; a row of an earlier incarnation that is there again is replaced;
- a start whose row and read fall into different eras begins again; a node that leaves removes its row again;
- the secret is written again by the store readers, unless there is one;
- the position of the feed belongs to an era: in another one the whole configuration is read.
It is not confirmed while another node has a newer version, since the store may not have that yet;
- the store's clock is measured anew.

--- a/include/fulmarjunction/mesh/config_copy.hpp
+++ b/include/fulmarjunction/mesh/config_copy.hpp
@@ -5,6 +5,7 @@
 #include <fulmarjunction/core/time.hpp>
 #include <fulmarjunction/routes/service_map.hpp>
 
+#include <cstdint>
 #include <optional>
 
 namespace fulmarjunction {
@@ -30,9 +31,14 @@
     bool offer(service_map_ptr newest);
 
     /// Records that `version` was the newest at the given time. Has no effect
-    /// unless it is the version in force.
+    /// unless it is the version in force and none newer is known.
     void confirm(config_version version, duration at);
 
+    /// Records that another node has a newer version. The one in force is not
+    /// confirmed until that has been read: the store may have come back from a
+    /// copy that is older than both.
+    void expect(config_version newer);
+
     /// Returns whether keys may be trusted.
     bool is_confirmed(duration now) const;
 
@@ -47,6 +53,8 @@
     duration max_confirmation_age_;
     service_map_ptr current_;
     std::optional<duration> confirmed_at_;
+    /// The newest version that any node is known to have.
+    config_version newest_known_ = 0;
 };
 
 /// Estimates the time at which the store gave an answer, on the node's clock.
@@ -60,10 +68,13 @@
     /// Returns the earliest time at which the store can have answered.
     /// @param sent_at time of the call on the node's clock
     /// @param store_time time on the store's clock in the answer
-    duration answered_at(duration sent_at, duration store_time);
+    /// @param era in each era the store's clock has another origin
+    duration
+    answered_at(duration sent_at, duration store_time, std::uint64_t era = 0);
 
 private:
     std::optional<duration> offset_;
+    std::uint64_t era_ = 0;
     duration last_store_time_{};
 };
 
--- a/include/fulmarjunction/mesh/mesh_metrics.hpp
+++ b/include/fulmarjunction/mesh/mesh_metrics.hpp
@@ -52,6 +52,8 @@
 
     /// Counts a crash of the local backend server.
     void count_backend_crash();
+    /// Counts a return of the store from an older copy.
+    void count_store_era();
 
     void observe_gate_wait(duration time);
     void observe_backend_time(duration time);
--- a/include/fulmarjunction/store/fleet_store.hpp
+++ b/include/fulmarjunction/store/fleet_store.hpp
@@ -8,6 +8,7 @@
 #include <fulmarjunction/routes/service_map.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -18,13 +19,23 @@
 /// Position in the store's history of changes.
 using store_position = std::uint64_t;
 
+/// Counts how often the store has come back from an older copy of itself. What
+/// it acknowledged in an earlier era may be gone, and its positions may have
+/// been given out again.
+using store_era = std::uint64_t;
+
+/// Era of a store that has not named one yet.
+inline constexpr store_era unknown_era = 0;
+
 /// Result of reading the configuration.
 struct config_read
 {
     /// The newest configuration, if the read found a new one.
     std::optional<service_document> document;
-    /// Position from which to follow further changes.
+    /// Position from which to follow further changes; of this era only.
     store_position position = 0;
+    /// The newest era known when the store had answered.
+    store_era era = unknown_era;
     /// The store's own steady clock when it answered.
     milliseconds store_time{};
     /// Set if the store no longer has the changes after the position; the whole
@@ -53,6 +64,13 @@
     store_position version = 0;
 };
 
+/// Row of a node that has been written.
+struct written_node
+{
+    incarnation_number incarnation = 0;
+    store_position version = 0;
+};
+
 /// State of the fleet in the store at one point in time.
 struct fleet_rows
 {
@@ -65,13 +83,25 @@
     std::vector<stored_departures> departures;
 };
 
-/// The shared store. Its answers are linearizable; every call may fail, be
-/// delayed, or take effect without an answer.
+/// The shared store. Its answers are linearizable within an era; every call may
+/// fail, be delayed, or take effect without an answer. An answer of an earlier
+/// era than a call before has seen is a failure.
 class fleet_store
 {
 public:
     virtual ~fleet_store() = default;
 
+    /// Returns the era of the newest answer. What was stored when it had
+    /// another value has to be stored again.
+    virtual store_era era() const = 0;
+
+    /// Asks the store for its era.
+    virtual awaitable<result<store_era>> read_era() = 0;
+
+    /// Called after an answer has shown that the store has come back from a
+    /// copy, but not within the call that got the answer.
+    std::function<void(store_era newest)> on_new_era;
+
     /// Reads the whole configuration.
     virtual awaitable<result<config_read>> read_config() = 0;
 
@@ -85,17 +115,23 @@
     /// @return the secret that is in effect from now on
     virtual awaitable<result<std::string>> create_secret() = 0;
 
+    /// Writes the secret that the fleet uses unless there is one.
+    /// @return the secret that is in effect from now on
+    virtual awaitable<result<std::string>>
+    restore_secret(const std::string& secret) = 0;
+
     /// Writes the row of this node, replacing that of an earlier incarnation.
     /// Like the other writes it names the version of the row that it replaces,
     /// so that it has no effect when it is done late.
-    /// @return the incarnation that begins with the row, which is also the
-    ///         version of the row. It comes from the store's count of changes,
-    ///         so the incarnations of a node increase regardless of its clock.
-    virtual awaitable<result<incarnation_number>>
+    /// @return the incarnation that begins with the row, and its version. The
+    ///         incarnation comes from the store's era and count of changes, so
+    ///         the incarnations of a node increase regardless of its clock,
+    ///         also when versions are given out again.
+    virtual awaitable<result<written_node>>
     put_node(const node_report& self) = 0;
 
-    /// Writes the row of this node unless there is one. The incarnation of the
-    /// node stays the same.
+    /// Writes the row of this node unless there is one of its incarnation or of
+    /// a later one. The incarnation of the node stays the same.
     /// @return the version of the row that was written, or nothing if there was
     ///         one
     virtual awaitable<result<std::optional<store_position>>>
--- a/src/mesh/config_copy.cpp
+++ b/src/mesh/config_copy.cpp
@@ -23,11 +23,16 @@
 
 void config_copy::confirm(config_version version, duration at)
 {
-    if (!current_ || version != current_->version())
+    if (!current_ || version != current_->version() || version < newest_known_)
         return;
     confirmed_at_ = std::max(at, confirmed_at_.value_or(at));
 }
 
+void config_copy::expect(config_version newer)
+{
+    newest_known_ = std::max(newest_known_, newer);
+}
+
 bool config_copy::is_confirmed(duration now) const
 {
     const auto passed = age(now);
@@ -41,11 +46,13 @@
     return now - *confirmed_at_;
 }
 
-duration answer_clock::answered_at(duration sent_at, duration store_time)
+duration answer_clock::answered_at(
+    duration sent_at, duration store_time, std::uint64_t era)
 {
     const auto offset = sent_at - store_time;
     // The clock of a restarted store has another origin.
-    const bool has_restarted = store_time < last_store_time_;
+    const bool has_restarted =
+        store_time < last_store_time_ || std::exchange(era_, era) != era;
     if (!offset_ || has_restarted || offset > *offset_)
         offset_ = offset;
     last_store_time_ = store_time;
--- a/src/mesh/config_follower.cpp
+++ b/src/mesh/config_follower.cpp
@@ -71,8 +71,10 @@
 
 void config_follower::apply(config_read found, duration sent_at)
 {
-    const auto answered_at = answers_.answered_at(sent_at, found.store_time);
+    const auto answered_at =
+        answers_.answered_at(sent_at, found.store_time, found.era);
     position_ = found.position;
+    era_ = found.era;
     if (found.document) {
         const auto newest =
             std::make_shared<service_map>(std::move(*found.document));
@@ -128,6 +130,7 @@
             continue;
         }
         const auto sent_at = suspended_clock_now();
+        const auto era = era_;
         const auto wait = deps_.fleet->is_store_reader()
                               ? store_reader_wait(deps_.random())
                               : follow_wait;
@@ -144,9 +147,12 @@
             continue;
         }
         failures = 0;
-        if (found.value().is_history_lost) {
+        // Changes before the same position of another era are other ones.
+        if (found.value().is_history_lost || found.value().era != era) {
             log(log_level::info, "config_history_lost",
-                {{"position", position_}});
+                {{"position", position_},
+                 {"era", era},
+                 {"newest_era", found.value().era}});
             needs_full_read_ = true;
             continue;
         }
--- a/src/mesh/config_follower.hpp
+++ b/src/mesh/config_follower.hpp
@@ -67,6 +67,8 @@
     dependencies deps_;
     answer_clock answers_;
     store_position position_ = 0;
+    /// Era of the position.
+    store_era era_ = unknown_era;
     bool is_store_lost_ = false;
     /// Set after a failure until the whole configuration has been read again.
     bool needs_full_read_ = false;
--- a/src/mesh/fleet_link.cpp
+++ b/src/mesh/fleet_link.cpp
@@ -257,8 +257,11 @@
             {{"peer", report.node}, {"life", report.incarnation}});
     }
     exchanges_[report.node].missed_exchanges = 0;
-    if (version > deps_.config->version() && deps_.newer_config_seen)
-        deps_.newer_config_seen();
+    if (version > deps_.config->version()) {
+        deps_.config->expect(version);
+        if (deps_.newer_config_seen)
+            deps_.newer_config_seen();
+    }
     // The answer can't be older than the request, which bounds the time of the
     // confirmation from below.
     if (sent_at && age)
--- a/src/mesh/fleet_registration.cpp
+++ b/src/mesh/fleet_registration.cpp
@@ -22,12 +22,13 @@
 /// Writes the node's row, which starts a new incarnation.
 awaitable<result<void>> fleet_registration::write_row()
 {
-    const auto incarnation =
+    const auto written =
         co_await deps_.store->put_node(deps_.reports->own_report());
-    if (!incarnation)
-        co_return incarnation.error();
-    row_version_ = incarnation.value();
-    deps_.reports->set_incarnation(incarnation.value());
+    if (!written)
+        co_return written.error();
+    row_version_ = written.value().version;
+    row_era_ = deps_.store->era();
+    deps_.reports->set_incarnation(written.value().incarnation);
     co_return boost::outcome_v2::success();
 }
 
@@ -66,10 +67,14 @@
         }
         if (has_written) {
             auto entry = co_await read_rows();
-            if (entry)
+            has_written = deps_.store->era() == row_era_;
+            if (entry && has_written) {
+                secret_ = entry.value().secret;
                 co_return std::move(entry.value());
+            }
             log(log_level::warning, "rows_not_read",
-                {{"error", to_string(entry.error())}});
+                {{"error", entry ? std::string("the store has come back")
+                                 : to_string(entry.error())}});
         }
         co_await wait_before_retry(failures, executor_);
     }
@@ -88,13 +93,13 @@
     }
 }
 
-awaitable<void> fleet_registration::check_rows()
+awaitable<bool> fleet_registration::check_rows()
 {
     const auto rows = co_await deps_.store->read_fleet();
     if (!rows) {
         log(log_level::info, "rows_not_read",
             {{"error", to_string(rows.error())}});
-        co_return;
+        co_return false;
     }
     bool has_own_row = false;
     for (const auto& row : rows.value().nodes) {
@@ -106,6 +111,51 @@
     if (!has_own_row && !is_leaving_)
         co_await restore_row();
     co_await remove_old_departures(rows.value());
+    co_return true;
+}
+
+awaitable<void> fleet_registration::restore()
+{
+    if (secret_.empty() || std::exchange(is_restoring_, true))
+        co_return;
+    for (unsigned failures = 1; row_era_ != deps_.store->era(); ++failures) {
+        const auto era = deps_.store->era();
+        const bool is_restored = co_await restore_all();
+        if (is_restored)
+            row_era_ = era;
+        else
+            co_await wait_before_retry(failures, executor_);
+    }
+    is_restoring_ = false;
+}
+
+awaitable<bool> fleet_registration::restore_all()
+{
+    if (is_leaving_)
+        co_return co_await remove_row();
+    const bool has_row = co_await restore_row();
+    if (!has_row)
+        co_return false;
+    const bool has_secret = co_await restore_secret();
+    if (!has_secret)
+        co_return false;
+    co_return co_await check_rows();
+}
+
+/// Writes the secret if the store has lost it.
+awaitable<bool> fleet_registration::restore_secret()
+{
+    if (!deps_.is_store_reader())
+        co_return true;
+    const auto current = co_await deps_.store->restore_secret(secret_);
+    if (!current) {
+        log(log_level::warning, "secret_not_restored",
+            {{"error", to_string(current.error())}});
+        co_return false;
+    }
+    if (current.value() != secret_)
+        log(log_level::error, "secret_differs");
+    co_return true;
 }
 
 /// Removes the old departures of nodes that no longer run.
@@ -126,25 +176,27 @@
     }
 }
 
-awaitable<void> fleet_registration::restore_row()
+/// @return whether the store has a row of this node
+awaitable<bool> fleet_registration::restore_row()
 {
     const auto restored =
         co_await deps_.store->restore_node(deps_.reports->own_report());
     if (!restored) {
         log(log_level::warning, "row_not_written",
             {{"error", to_string(restored.error())}});
-        co_return;
+        co_return false;
     }
     if (!restored.value())
-        co_return;
+        co_return true;
     row_version_ = *restored.value();
     log(log_level::warning, "row_restored", {{"version", row_version_}});
     // The removal of a leave in the meantime has found no row.
     if (is_leaving_)
         co_await remove_row();
+    co_return true;
 }
 
-awaitable<void> fleet_registration::remove_row()
+awaitable<bool> fleet_registration::remove_row()
 {
     const auto removed =
         co_await deps_.store->remove_node(deps_.self, row_version_);
@@ -152,6 +204,7 @@
         log(log_level::warning, "row_not_removed",
             {{"error", to_string(removed.error())}});
     }
+    co_return removed.has_value();
 }
 
 awaitable<void> fleet_registration::leave()
--- a/src/mesh/fleet_registration.hpp
+++ b/src/mesh/fleet_registration.hpp
@@ -40,16 +40,23 @@
         instance_name self;
         /// Called with each row that a later read has found.
         std::function<void(const node_report& row)> row_found;
+        /// Returns whether this node restores what belongs to the whole fleet.
+        std::function<bool()> is_store_reader;
     };
 
     fleet_registration(
         boost::asio::any_io_executor executor, dependencies deps);
 
     /// Writes the node's row, then reads those of the others, until both have
-    /// succeeded. In this order, at least one of two nodes that start at the
-    /// same time finds the other.
+    /// succeeded in the same era of the store. In this order, at least one of
+    /// two nodes that start at the same time finds the other.
     awaitable<fleet_entry> enter();
 
+    /// Does the same again after the store has come back from a copy, which may
+    /// lack the rows of some nodes. The incarnation stays the same. While the
+    /// node leaves, it removes the row instead.
+    awaitable<void> restore();
+
     /// Reads the rows again from time to time, until the node leaves: nodes
     /// that a long partition has made each other forget find each other again,
     /// and a row that has been lost is restored.
@@ -60,10 +67,12 @@
     awaitable<void> leave();
 
 private:
-    awaitable<void> check_rows();
+    awaitable<bool> check_rows();
+    awaitable<bool> restore_all();
     awaitable<void> remove_old_departures(const fleet_rows& rows);
-    awaitable<void> restore_row();
-    awaitable<void> remove_row();
+    awaitable<bool> restore_row();
+    awaitable<bool> restore_secret();
+    awaitable<bool> remove_row();
     awaitable<result<void>> write_row();
     awaitable<result<fleet_entry>> read_rows();
 
@@ -71,6 +80,11 @@
     dependencies deps_;
     /// Version of the node's row.
     store_position row_version_ = 0;
+    /// Era of the store in which the node's row was last written or found.
+    store_era row_era_ = unknown_era;
+    /// Secret of the fleet, once the node has entered it.
+    std::string secret_;
+    bool is_restoring_ = false;
     bool is_leaving_ = false;
 };
 
--- a/src/mesh/mesh_metrics.cpp
+++ b/src/mesh/mesh_metrics.cpp
@@ -85,6 +85,11 @@
             prometheus::BuildCounter(), "fulmar_backend_crashes_total",
             "Crashes of the local backend server with requests in flight.")
             .Add({});
+    prometheus::Counter& store_eras =
+        family(
+            prometheus::BuildCounter(), "fulmar_store_eras_total",
+            "Times that the store has come back from an older copy.")
+            .Add({});
     prometheus::Family<prometheus::Gauge>& gauges = family(
         prometheus::BuildGauge(), "fulmar_node",
         "State of the node; see the label `value`.");
@@ -122,6 +127,11 @@
     impl_->crashes.Increment();
 }
 
+void mesh_metrics::count_store_era()
+{
+    impl_->store_eras.Increment();
+}
+
 void mesh_metrics::observe_gate_wait(duration time)
 {
     impl_->gate_seconds.Observe(to_seconds(time));
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -137,6 +137,7 @@
     registering.row_found = [this](const node_report& row) {
         fleet_.recall(row, clock::now());
     };
+    registering.is_store_reader = [this] { return fleet_.is_store_reader(); };
     registration_ =
         std::make_unique<fleet_registration>(executor_, std::move(registering));
     monitor_.begin_restore();
@@ -322,6 +323,16 @@
     departure_link_ =
         std::make_unique<departure_link>(executor_, std::move(copying));
 
+    store_recovery::dependencies recovering;
+    recovering.store = adapter_.store.get();
+    recovering.fleet = &fleet_;
+    recovering.metrics = &metrics_;
+    recovering.peers = [this] { return peer_client_.get(); };
+    recovering.random = random_numbers();
+    recovering.restore_row = [this] { return registration_->restore(); };
+    store_recovery_ =
+        std::make_unique<store_recovery>(executor_, std::move(recovering));
+
     forwarder::dependencies forwarding;
     forwarding.self = settings_.name;
     forwarding.fleet = &fleet_;
@@ -562,6 +573,8 @@
     if (name == departures_message)
         co_return make_control_answer(
             departure_link_->receive(request.from, text.value()));
+    if (name == store_era_message)
+        co_return make_control_answer(store_recovery_->receive(text.value()));
     if (name == departures_query)
         co_return make_control_answer(departure_link_->copies_of(request.from));
     co_return make_control_answer(link_->handle_message(name, text.value()));
--- a/src/mesh/mesh_node_impl.hpp
+++ b/src/mesh/mesh_node_impl.hpp
@@ -7,6 +7,7 @@
 #include "departure_link.hpp"
 #include "fleet_registration.hpp"
 #include "fleet_reports.hpp"
+#include "store_recovery.hpp"
 #include "suspect_archive.hpp"
 #include "suspect_link.hpp"
 
@@ -100,6 +101,7 @@
     std::unique_ptr<suspect_archive> suspect_archive_;
     std::unique_ptr<departure_archive> departure_archive_;
     std::unique_ptr<departure_link> departure_link_;
+    std::unique_ptr<store_recovery> store_recovery_;
     std::unique_ptr<forwarder> forwarder_;
     std::unique_ptr<caller_entry> entry_;
     std::unique_ptr<http_server> callers_;
--- a/src/mesh/mesh_test.cpp
+++ b/src/mesh/mesh_test.cpp
@@ -68,6 +68,15 @@
     copy.confirm(5, seconds(10));
     CHECK(copy.is_confirmed(seconds(13)));
     CHECK_FALSE(copy.is_confirmed(seconds(14)));
+    SECTION("a confirmation has no effect while a newer version is known")
+    {
+        copy.expect(6);
+        copy.confirm(5, seconds(14));
+        CHECK_FALSE(copy.is_confirmed(seconds(14)));
+        copy.offer(make_map(6));
+        copy.confirm(6, seconds(14));
+        CHECK(copy.is_confirmed(seconds(14)));
+    }
     SECTION("a confirmation of another version has no effect")
     {
         copy.confirm(4, seconds(14));
--- a/src/mesh/mesh_test_fleet.hpp
+++ b/src/mesh/mesh_test_fleet.hpp
@@ -34,23 +34,47 @@
     fj::duration departures_age{};
     std::string secret;
     fj::incarnation_number last_incarnation = 0;
+    fj::store_era era = 1;
+    /// Period in which nodes that are added later check their rows.
+    milliseconds row_check_period{1000};
     bool is_unavailable = false;
     /// Time that the store takes to create the secret.
     milliseconds secret_delay{};
+
+    /// Comes back from a copy: what nodes have written since is gone.
+    void come_back_from(const shared_rows& copy)
+    {
+        nodes = copy.nodes;
+        suspects = copy.suspects;
+        departures = copy.departures;
+        secret = copy.secret;
+        ++era;
+    }
 };
 
 class memory_store : public fj::fleet_store
 {
 public:
     explicit memory_store(std::shared_ptr<shared_rows> rows)
-        : rows_(std::move(rows))
+        : rows_(std::move(rows)), era_(rows_->era)
     {
     }
 
+    fj::store_era era() const override { return era_; }
+
+    fj::awaitable<fj::result<fj::store_era>> read_era() override
+    {
+        if (rows_->is_unavailable)
+            co_return fj::fail(fj::errc::unavailable, "read era");
+        note_era();
+        co_return era_;
+    }
+
     fj::awaitable<fj::result<fj::config_read>> read_config() override
     {
         if (rows_->is_unavailable)
             co_return fj::fail(fj::errc::unavailable, "read");
+        note_era();
         co_return read();
     }
 
@@ -65,6 +89,7 @@
         }
         if (rows_->is_unavailable)
             co_return fj::fail(fj::errc::unavailable, "follow");
+        note_era();
         auto found = read();
         if (rows_->position == from)
             found.document.reset();
@@ -95,13 +120,22 @@
         co_return rows_->secret;
     }
 
-    fj::awaitable<fj::result<fj::incarnation_number>>
+    fj::awaitable<fj::result<std::string>>
+    restore_secret(const std::string& secret) override
+    {
+        if (rows_->secret.empty())
+            rows_->secret = secret;
+        co_return rows_->secret;
+    }
+
+    fj::awaitable<fj::result<fj::written_node>>
     put_node(const fj::node_report& self) override
     {
+        note_era();
         auto& row = rows_->nodes[self.node];
         row = self;
         row.incarnation = ++rows_->last_incarnation;
-        co_return row.incarnation;
+        co_return fj::written_node{row.incarnation, row.incarnation};
     }
 
     fj::awaitable<fj::result<std::optional<fj::store_position>>>
@@ -155,12 +189,24 @@
         fj::config_read found;
         found.document = rows_->config;
         found.position = rows_->position;
+        found.era = era_;
         found.store_time = std::chrono::duration_cast<milliseconds>(
             fj::clock::now().time_since_epoch());
         return found;
     }
 
+    void note_era()
+    {
+        if (std::exchange(era_, rows_->era) == rows_->era)
+            return;
+        asio::post(io(), [this] {
+            if (on_new_era)
+                on_new_era(era_);
+        });
+    }
+
     std::shared_ptr<shared_rows> rows_;
+    fj::store_era era_;
 };
 
 inline std::string field(const fj::header_fields& fields, std::string_view name)
@@ -241,7 +287,7 @@
         settings.peers = free_address();
         settings.metrics = free_address();
         settings.revocation_bound = revocation_bound;
-        settings.row_check_period = milliseconds(1000);
+        settings.row_check_period = rows->row_check_period;
         settings.log_lines = 0;
         fj::mesh_adapter adapter;
         adapter.format = make_format();
@@ -425,8 +471,11 @@
 /// Three nodes: one of the service `shop`, two of `books`.
 struct test_fleet
 {
-    explicit test_fleet(milliseconds revocation_bound = milliseconds(60'000))
+    explicit test_fleet(
+        milliseconds revocation_bound = milliseconds(60'000),
+        milliseconds row_check_period = milliseconds(1000))
     {
+        rows->row_check_period = row_check_period;
         rows->config.version = 1;
         rows->config.routes = {
             make_route("books", "/books/", false),
@@ -616,12 +665,14 @@
 
 /// Creates a fleet that is never destroyed, since its nodes have work pending
 /// on the I/O context until the process ends.
-inline test_fleet&
-make_fleet(milliseconds revocation_bound = milliseconds(60'000))
+inline test_fleet& make_fleet(
+    milliseconds revocation_bound = milliseconds(60'000),
+    milliseconds row_check_period = milliseconds(1000))
 {
     // The context is never destroyed either.
     static auto& all = *new std::vector<std::unique_ptr<test_fleet>>();
-    all.push_back(std::make_unique<test_fleet>(revocation_bound));
+    all.push_back(
+        std::make_unique<test_fleet>(revocation_bound, row_check_period));
     return *all.back();
 }
 
