mesh: store leaves and suspects again after the store has come back

The store had come back from a copy that lacked the leave, then all nodes were killed, and a heartbeat from before the leave arrived late.

`departure_archive` remembered that the leave was stored, and never wrote it again; the copies at other nodes were lost with their processes. `suspect_archive`, which keeps what is known of requests that crash servers, did the same.

Both now remember the era in which they stored, and what was stored in an earlier one counts as not stored: the node writes it as soon as it learns of the new era, and no leave is acknowledged on the word of an earlier one. Since all nodes may be lost right after the drill, a node whose backend server has left within the last 10 s asks for the era each 0.45 s; in large fleets less often, 1 ms for each node.

--- a/src/mesh/departure_archive.cpp
+++ b/src/mesh/departure_archive.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace fulmarjunction {
@@ -18,6 +19,9 @@
 constexpr milliseconds acknowledgement_limit(1000);
 constexpr milliseconds max_store_wait(600);
 static_assert(max_store_wait < acknowledgement_limit);
+/// A copy that the store comes back from is some seconds old. Departures that
+/// it may lack are stored again soon after, since the node may be lost next.
+constexpr seconds max_copy_age(10);
 
 } // namespace
 
@@ -48,20 +52,57 @@
              {"age_ms", to_milliseconds(now - departure.announced_at)}});
     }
     stored_content_ = departures_digest(loaded);
+    stored_era_ = deps_.store->era();
+    has_row_ = !loaded.empty();
     is_loaded_ = true;
     deps_.monitor->restore(loaded, now);
 }
 
 void departure_archive::start()
 {
-    ticks_ = deps_.timers->every(tick_period, [this](time_point) { update(); });
+    ticks_ = deps_.timers->every(tick_period, [this](time_point now) {
+        update();
+        check_era(now);
+    });
+}
+
+/// Asks for the store's era while a copy may lack a departure. Other calls show
+/// it as well, but may be seconds away.
+void departure_archive::check_era(time_point now)
+{
+    if (stored_content_.empty() || stored_era_ == unknown_era ||
+        is_reading_era_ || now < next_era_check_)
+        return;
+    const auto departures = deps_.monitor->departures(now);
+    const bool is_recent = std::any_of(
+        departures.begin(), departures.end(),
+        [now](const backend_departure& departure) {
+            return now - departure.announced_at < max_copy_age;
+        });
+    if (!is_recent)
+        return;
+    next_era_check_ = now + deps_.era_check_period();
+    is_reading_era_ = true;
+    boost::asio::co_spawn(executor_, read_era(), boost::asio::detached);
+}
+
+awaitable<void> departure_archive::read_era()
+{
+    // A failed call is repeated at the next check.
+    const auto read = co_await deps_.store->read_era();
+    is_reading_era_ = false;
+    if (read)
+        update();
 }
 
 bool departure_archive::is_stored() const
 {
     const auto content =
         departures_digest(deps_.monitor->departures(clock::now()));
-    return is_loaded_ ? content == stored_content_ : content.empty();
+    if (!is_loaded_)
+        return content.empty();
+    const bool may_be_lost = has_row_ && stored_era_ != deps_.store->era();
+    return content == stored_content_ && !may_be_lost;
 }
 
 awaitable<void> departure_archive::wait_until_stored()
@@ -95,10 +136,13 @@
 awaitable<void>
 departure_archive::store_departures(std::string text, std::string content)
 {
+    const auto era = deps_.store->era();
     const auto stored = co_await deps_.store->put_departures(deps_.self, text);
     is_busy_ = false;
     if (stored) {
         stored_content_ = std::move(content);
+        stored_era_ = era;
+        has_row_ = true;
         // More may have been announced meanwhile.
         update();
         co_return;
--- a/src/mesh/departure_archive.hpp
+++ b/src/mesh/departure_archive.hpp
@@ -9,6 +9,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,8 @@
         backend_monitor* monitor = nullptr;
         timer_service* timers = nullptr;
         instance_name self;
+        /// Returns the time between two checks of the store's era.
+        std::function<duration()> era_check_period;
     };
 
     departure_archive(boost::asio::any_io_executor executor, dependencies deps);
@@ -39,21 +42,31 @@
     /// the departures of an earlier run are not overwritten.
     void start();
 
+    /// Stores the departures at once if the store does not have them.
+    void update();
+
     /// Waits until all departures are stored. Without the store it ends after
     /// some time: they are stored later, if the node still runs then.
     awaitable<void> wait_until_stored();
 
 private:
     bool is_stored() const;
-    void update();
     awaitable<void> store_departures(std::string text, std::string content);
+    void check_era(time_point now);
+    awaitable<void> read_era();
 
     boost::asio::any_io_executor executor_;
     dependencies deps_;
     bool is_loaded_ = false;
     /// The stored departures without their ages.
     std::string stored_content_;
+    /// Era of the store when they were stored or read.
+    store_era stored_era_ = unknown_era;
+    /// Whether any were stored since the store has named its first era.
+    bool has_row_ = false;
     bool is_busy_ = false;
+    bool is_reading_era_ = false;
+    time_point next_era_check_{};
     timer_service::subscription ticks_;
 };
 
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -39,6 +39,11 @@
 /// Keeps the reads of all rows below ten per second in a large fleet.
 constexpr milliseconds row_check_per_node(200);
 
+/// Bounds the checks of the store's era, if all backend servers leave at once,
+/// to a thousand per second in a large fleet.
+constexpr milliseconds min_era_check_period(450);
+constexpr milliseconds era_check_per_node(1);
+
 constexpr milliseconds tick_period(250);
 /// Period of a timer whose delay shows whether the node gets enough processor
 /// time. It runs only while the gate is busy.
@@ -312,6 +317,7 @@
     departing.monitor = &monitor_;
     departing.timers = &timers_;
     departing.self = settings_.name;
+    departing.era_check_period = [this] { return era_check_period(); };
     departure_archive_ =
         std::make_unique<departure_archive>(executor_, std::move(departing));
 
@@ -329,6 +335,10 @@
     recovering.metrics = &metrics_;
     recovering.peers = [this] { return peer_client_.get(); };
     recovering.random = random_numbers();
+    recovering.store_acknowledged = [this] {
+        departure_archive_->update();
+        suspect_archive_->update();
+    };
     recovering.restore_row = [this] { return registration_->restore(); };
     store_recovery_ =
         std::make_unique<store_recovery>(executor_, std::move(recovering));
@@ -528,6 +538,12 @@
     return period + milliseconds(jitter);
 }
 
+duration mesh_node::impl::era_check_period() const
+{
+    const auto nodes = static_cast<std::int64_t>(fleet_.members().size());
+    return std::max(min_era_check_period, nodes * era_check_per_node);
+}
+
 awaitable<streamed_response>
 mesh_node::impl::serve_metrics(http_request request)
 {
--- a/src/mesh/mesh_node_impl.hpp
+++ b/src/mesh/mesh_node_impl.hpp
@@ -52,6 +52,7 @@
     on_call_refused(const call_context& request, const service_name& service);
     bool is_ready() const;
     duration row_check_period();
+    duration era_check_period() const;
 
     awaitable<void> drive_timers();
     void probe_processor();
--- a/src/mesh/store_drill_test.cpp
+++ b/src/mesh/store_drill_test.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+const std::string key = "key-1";
+
 /// Nodes check their rows by themselves long after the end of a test.
 constexpr milliseconds no_row_check{600'000};
 /// Time for which a test waits for what takes a second or two.
@@ -38,6 +40,12 @@
     return fleet;
 }
 
+fj::awaitable<bool> wait_until_stored(test_instance& instance)
+{
+    co_await instance.hooks.departures_stored();
+    co_return true;
+}
+
 bool reaches_solo(test_fleet& fleet, std::size_t index)
 {
     return comes_true(
@@ -111,3 +119,44 @@
     fleet.rows->come_back_from(copy);
     CHECK(comes_true([&] { return fleet.rows->secret == secret; }));
 }
+
+// Guards against requests to a backend server that has left: the store has lost
+// the leave, and then the node restarts and the server's copies are lost.
+TEST_CASE("a leave that the store has lost is stored again")
+{
+    auto& fleet = make_solo_fleet();
+    const auto copy = *fleet.rows;
+    auto& leaving = *fleet.instances[1];
+    leaving.hooks.leave({leaving.backend_id(), leaving.backend_starts});
+    run(wait_until_stored(leaving));
+    REQUIRE(fleet.rows->departures.count("n2") == 1);
+    const auto drills = GENERATE(1, 2);
+    for (int drill = 0; drill < drills; ++drill) {
+        fleet.rows->come_back_from(copy);
+        REQUIRE(fleet.rows->departures.empty());
+        CHECK(comes_true([&] { return !fleet.rows->departures.empty(); }));
+    }
+}
+
+// Guards against a request that crashes servers again after the store has lost
+// what is known of it, and then all nodes have been lost.
+TEST_CASE("suspects that the store has lost are stored again")
+{
+    auto& fleet = make_solo_fleet();
+    for (const auto* name : {"n4", "n5"})
+        fleet.add_instance(name, "books");
+    const auto copy = *fleet.rows;
+    for (std::size_t sent = 0; fleet.rows->suspects.empty(); ++sent) {
+        REQUIRE(sent < 40);
+        fleet.send("/books/crash", key, sent % fleet.instances.size());
+        wait_for(milliseconds(500));
+        for (const auto& instance : fleet.instances) {
+            if (instance->is_backend_running)
+                instance->send_heartbeat();
+        }
+    }
+    const auto stored = fleet.rows->suspects.size();
+    fleet.rows->come_back_from(copy);
+    REQUIRE(fleet.rows->suspects.empty());
+    CHECK(comes_true([&] { return fleet.rows->suspects.size() == stored; }));
+}
--- a/src/mesh/store_recovery.cpp
+++ b/src/mesh/store_recovery.cpp
@@ -51,6 +51,7 @@
 {
     log(log_level::warning, "store_came_back", {{"era", newest}});
     deps_.metrics->count_store_era();
+    deps_.store_acknowledged();
     tell_others(newest);
     asio::co_spawn(executor_, restore(), asio::detached);
 }
--- a/src/mesh/store_recovery.hpp
+++ b/src/mesh/store_recovery.hpp
@@ -37,6 +37,8 @@
         /// Returns the peer client, or null until the node has joined.
         std::function<peer_client*()> peers;
         std::function<std::uint64_t()> random;
+        /// Stores at once what the node has acknowledged to others.
+        std::function<void()> store_acknowledged;
         /// Stores the node's row and reads those of others.
         std::function<awaitable<void>()> restore_row;
     };
--- a/src/mesh/suspect_archive.cpp
+++ b/src/mesh/suspect_archive.cpp
@@ -76,13 +76,15 @@
 
 void suspect_archive::update()
 {
+    const bool may_be_lost = has_row_ && stored_era_ != deps_.store->era();
     // Both are empty nearly always.
-    if (is_busy_ || (deps_.suspects->size() == 0 && stored_content_.empty()))
+    if (is_busy_ || (deps_.suspects->size() == 0 && stored_content_.empty() &&
+                     !may_be_lost))
         return;
     const auto reports =
         deps_.suspects->refused_here(max_stored_reports, clock::now());
     auto content = content_of(reports);
-    if (content == stored_content_)
+    if (content == stored_content_ && !may_be_lost)
         return;
     is_busy_ = true;
     auto text = reports.empty() ? std::string()
@@ -95,10 +97,13 @@
 awaitable<void>
 suspect_archive::store_reports(std::string text, std::string content)
 {
+    const auto era = deps_.store->era();
     const auto stored = co_await deps_.store->put_suspects(deps_.self, text);
     is_busy_ = false;
     if (stored) {
         stored_content_ = std::move(content);
+        stored_era_ = era;
+        has_row_ = true;
         co_return;
     }
     log(log_level::info, "suspects_not_stored",
--- a/src/mesh/suspect_archive.hpp
+++ b/src/mesh/suspect_archive.hpp
@@ -38,7 +38,7 @@
     /// Starts the periodic work.
     void start();
 
-    /// Stores the reports at once if they have changed.
+    /// Stores the reports at once if they have changed or may be lost.
     void update();
 
 private:
@@ -48,6 +48,10 @@
     dependencies deps_;
     /// The stored reports without their remaining times.
     std::string stored_content_;
+    /// Era of the store when they were stored.
+    store_era stored_era_ = unknown_era;
+    /// Whether this node has stored any.
+    bool has_row_ = false;
     bool is_busy_ = false;
     timer_service::subscription ticks_;
 };
