http, mesh: find silent connections in time, and drop those beside them

Cause: one silent connection was taken for the only one. A node that had waited in vain asked again on a kept connection, which was silent as well, and waited another second; only then it opened a new one. Besides, a store reader noticed after up to 2.5 s and another node after 2.4 s, of the 3 s until machines count as in touch.

- A request that is not answered in time makes the client close the idle connections that have carried no answer since it was sent.
This holds for all clients, those of backend servers too: each of their silent connections lost one request before.
The test of the readers' waits has the new bounds, and is as strict.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -108,6 +108,8 @@
     struct idle_connection
     {
         std::shared_ptr<connection> conn;
+        /// End of its last answer.
+        time_point answered_at;
         /// The connection is not reused after this time.
         time_point expiry;
     };
@@ -117,6 +119,7 @@
     struct exchange
     {
         std::weak_ptr<impl> owner;
+        time_point sent_at;
         std::shared_ptr<connection> conn;
         std::shared_ptr<message_reader> reader;
         std::shared_ptr<upload_state> upload;
@@ -132,6 +135,7 @@
     using exchange_ptr = std::shared_ptr<exchange>;
 
     std::shared_ptr<connection> take_idle();
+    void drop_unproven(time_point since);
     void
     keep_for_reuse(std::shared_ptr<connection> conn, milliseconds idle_time);
     awaitable<result<std::shared_ptr<connection>>> connect(time_point deadline);
@@ -212,7 +216,19 @@
             ended->close();
     };
     idle_connections_.push_back(
-        {std::move(conn), now + idle_time / keep_alive_divisor});
+        {std::move(conn), now, now + idle_time / keep_alive_divisor});
+}
+
+/// Closes the idle connections that have carried no answer since a request was
+/// sent that has got none. Connections can go silent together, without a reset.
+void http_client::impl::drop_unproven(time_point since)
+{
+    std::erase_if(idle_connections_, [since](const idle_connection& idle) {
+        const bool is_proven = idle.answered_at >= since;
+        if (!is_proven)
+            idle.conn->close();
+        return !is_proven;
+    });
 }
 
 awaitable<result<std::shared_ptr<connection>>>
@@ -405,6 +421,9 @@
         current->late_bytes += received.value();
     if (current->late_bytes > detail::max_buffered_input)
         received = fail(errc::timeout, "http.response", {}, "deadline");
+    const auto client = current->owner.lock();
+    if (!received && received.error().code == errc::timeout && client)
+        client->drop_unproven(current->sent_at);
     if (!received && current->conn)
         current->conn->close();
     if (received && current->reader->is_done())
@@ -425,16 +444,20 @@
             errc::connection_failed, "http.send", self->name_,
             "the deadline has passed");
     }
+    const auto sent_at = clock::now();
     auto conn = co_await self->send_head(std::move(*head), deadline);
     if (!conn)
         co_return conn.error();
     auto current = std::make_shared<exchange>();
     current->owner = self;
+    current->sent_at = sent_at;
     current->conn = conn.value();
     current->upload = std::make_shared<upload_state>();
     self->start_upload(current, request, framing);
     const auto outcome = co_await self->read_response_head(
         *current, request.method == "HEAD", deadline, filter);
+    if (!outcome && outcome.error().code == errc::timeout)
+        self->drop_unproven(sent_at);
     if (!outcome)
         co_return outcome.error();
     co_return self->make_response(current, body_deadline);
--- a/src/http/http_client_test.cpp
+++ b/src/http/http_client_test.cpp
@@ -8,6 +8,7 @@
 #include <http/head.hpp>
 
 #include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/ssl/stream.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -21,6 +22,84 @@
 using namespace fulmarjunction::test;
 using namespace std::string_literals;
 
+namespace {
+
+/// Server whose open connections can go silent for good, while new ones work.
+class silencing_server
+{
+public:
+    silencing_server() : acceptor_(io(), any_port)
+    {
+        asio::co_spawn(io(), accept_all(), asio::detached);
+    }
+
+    tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+
+    /// Makes the connections that are open now go silent.
+    void silence() { ++silenced_; }
+
+    int accepted = 0;
+
+private:
+    fj::awaitable<void> accept_all()
+    {
+        for (;;) {
+            auto socket = co_await acceptor_.async_accept(use_awaitable);
+            ++accepted;
+            asio::co_spawn(io(), serve(std::move(socket)), asio::detached);
+        }
+    }
+
+    fj::awaitable<void> serve(tcp::socket socket)
+    {
+        const auto opened_at = silenced_;
+        std::string input;
+        for (;;) {
+            boost::system::error_code failure;
+            const auto size = co_await asio::async_read_until(
+                socket, asio::dynamic_buffer(input), "\r\n\r\n",
+                asio::redirect_error(use_awaitable, failure));
+            if (failure)
+                co_return;
+            input.erase(0, size);
+            if (silenced_ != opened_at)
+                continue;
+            co_await asio::async_write(
+                socket,
+                asio::buffer("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"s),
+                asio::redirect_error(use_awaitable, failure));
+        }
+    }
+
+    tcp::acceptor acceptor_;
+    int silenced_ = 0;
+};
+
+} // namespace
+
+// Guards against requests that wait for their deadlines one after the other,
+// each on another kept connection that has gone silent with the first.
+TEST_CASE("one silent connection makes the other idle ones doubtful")
+{
+    auto& server = *new silencing_server();
+    fj::http_client client(
+        io().get_executor(), server.address(), long_timeout_limits());
+    std::vector<std::shared_ptr<std::optional<std::string>>> answers;
+    for (int i = 0; i < 4; ++i)
+        answers.push_back(start(fetch(client, get("/"), far_deadline())));
+    for (const auto& answer : answers)
+        run_until([&] { return answer->has_value(); });
+    REQUIRE(server.accepted == 4);
+    server.silence();
+    const auto soon = fj::clock::now() + std::chrono::milliseconds(50);
+    CHECK(run(fetch(client, get("/"), soon)) == "timeout");
+    CHECK(fetch_now(client, get("/")) == "200 ok");
+    CHECK(server.accepted == 5);
+    // A connection that has carried an answer since is kept.
+    CHECK(fetch_now(client, get("/")) == "200 ok");
+    CHECK(server.accepted == 5);
+}
+
 TEST_CASE("faults of a server are errors for the client")
 {
     struct fault
--- a/src/mesh/config_follower.cpp
+++ b/src/mesh/config_follower.cpp
@@ -19,13 +19,14 @@
 
 /// Maximum time that the store may hold a call that waits for a change. It is
 /// short for the store readers, whose answers confirm to all nodes that nothing
-/// has changed.
-constexpr milliseconds min_reader_wait(1000);
-constexpr milliseconds max_reader_wait(1500);
+/// has changed. A connection that has gone silent shows only after this time
+/// and the time limit of a call.
+constexpr milliseconds min_reader_wait(700);
+constexpr milliseconds max_reader_wait(1000);
 constexpr milliseconds follow_wait(25'000);
 /// Age of the last confirmation at which a node queries the store itself, and
 /// the minimum time between two such queries.
-constexpr milliseconds check_age_limit(2400);
+constexpr milliseconds check_age_limit(2000);
 constexpr milliseconds check_period(800);
 
 constexpr milliseconds min_retry_delay(100);
--- a/src/mesh/mesh_test.cpp
+++ b/src/mesh/mesh_test.cpp
@@ -417,8 +417,8 @@
     std::set<milliseconds> waits;
     for (std::uint64_t random = 0; random < 1000; ++random) {
         const auto wait = fj::store_reader_wait(random * 7919);
-        CHECK(wait >= milliseconds(1000));
-        CHECK(wait <= milliseconds(1500));
+        CHECK(wait >= milliseconds(700));
+        CHECK(wait <= milliseconds(1000));
         waits.insert(wait);
     }
     CHECK(waits.size() > 100);
